--- a/Makefile
+++ b/Makefile
@@ -11,14 +11,14 @@
 CFLAGS = -O2 -g
 ALL_CFLAGS = -std=gnu11 -Wall -Wextra -Werror -Wstrict-prototypes \
 	-Wmissing-prototypes -Wshadow -fno-strict-aliasing -pthread \
-	-D_GNU_SOURCE -DCM_INVARIANTS -Iinclude -Isrc -Itests \
+	-D_GNU_SOURCE -DCM_INVARIANTS -Iinclude -Isrc -Itests -I. \
 	$(shell pkg-config --cflags $(PACKAGES)) $(SANITIZE) $(CFLAGS)
 LIBS = $(shell pkg-config --libs $(PACKAGES)) -lm -pthread
 CHECK_LIBS = $(shell pkg-config --libs check)
 
 CORE = $(wildcard src/core/*.c)
 SHELL_SRC = $(wildcard src/ports/*.c src/adapters/*.c src/config/*.c \
-	src/daemon/*.c)
+	src/daemon/*.c platform/*.c)
 CLI = $(wildcard src/cli/*.c)
 STANDIN = $(wildcard tests/standin/*.c tests/fake/*.c)
 FAKE = $(wildcard tests/fake/*.c)
@@ -28,7 +28,7 @@
 BENCH = $(wildcard bench/*.c)
 
 object = $(patsubst %.c,$(BUILD)/%.o,$(1))
-FORMATTED = $(wildcard include/chervilmast/*.h src/*/*.[ch] tests/*/*.[ch] \
+FORMATTED = $(wildcard include/chervilmast/*.h src/*/*.[ch] platform/*.[ch] tests/*/*.[ch] \
 	bench/*.[ch] bench/*/*.c examples/*.c)
 LINTED = $(filter %.c,$(FORMATTED))
 
--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -160,7 +160,36 @@
 	X(REFUSED_NOTE_GAP, "refused_note_gap",                                \
 	  "notes not taken as one before them is missing")                     \
 	X(REFUSED_NOTE_INVALID, "refused_note_invalid",                        \
-	  "notes not taken as they do not fit or cannot be read")
+	  "notes not taken as they do not fit or cannot be read")              \
+	X(STEER_PLACED, "steer_placed", "new flows given to a server")         \
+	X(STEER_PLACED_AGAIN, "steer_placed_again",                            \
+	  "new flows given to another server as the first did not answer")     \
+	X(STEER_SYN_REPEATED, "steer_syn_repeated",                            \
+	  "repeated SYNs sent to the same server")                             \
+	X(STEER_BY_TOKEN, "steer_by_token", "packets sent on by their token")  \
+	X(STEER_NO_ROUTE, "steer_no_route",                                    \
+	  "new flows reset as no route leads from their address")              \
+	X(STEER_NO_SERVER, "steer_no_server",                                  \
+	  "new flows reset as no server may take them")                        \
+	X(STEER_STALE, "steer_stale",                                          \
+	  "new flows dropped as the registry was not heard of for too long")   \
+	X(STEER_NO_TOKEN, "steer_no_token",                                    \
+	  "packets of open flows dropped as they carry no token")              \
+	X(STEER_UNKNOWN_TOKEN, "steer_unknown_token",                          \
+	  "packets of open flows dropped as no server is known by the token")  \
+	X(STEER_FLOW_FORGOTTEN, "steer_flow_forgotten",                        \
+	  "flows no longer observed as the table is full")                     \
+	X(STEER_SYN_UNANSWERED, "steer_syn_unanswered",                        \
+	  "SYNs that a server did not answer in time")                         \
+	X(STEER_SUSPECTED, "steer_suspected",                                  \
+	  "servers that seem to be silent")                                    \
+	X(STEER_CLEARED, "steer_cleared",                                      \
+	  "suspected servers that answer again")                               \
+	X(REGISTRY_BAD_ITEM, "registry_bad_item",                              \
+	  "items of the registry that could not be used")                      \
+	X(REGISTRY_SNAPSHOTS, "registry_snapshots",                            \
+	  "times that all of the registry was read")                           \
+	X(LOG_DROPPED, "log_dropped", "log lines left out over the budget")
 
 /**
  * enum cm_counter - index of a counter
--- a/include/chervilmast/error.h
+++ b/include/chervilmast/error.h
@@ -48,7 +48,8 @@
 	X(CM_E_COMPACTED, -38, "revision-compacted")             \
 	X(CM_E_OUTCOME_OPEN, -39, "outcome-open")                \
 	X(CM_E_CONTRADICTION, -40, "contradicting-note")         \
-	X(CM_E_GAP, -41, "note-before-is-missing")
+	X(CM_E_GAP, -41, "note-before-is-missing")               \
+	X(CM_E_INTERRUPTED, -42, "interrupted")
 
 /**
  * enum cm_error - why an operation failed; 0 stands for success
--- /dev/null
+++ b/include/chervilmast/steer.h
@@ -0,0 +1,287 @@
+/**
+ * DOC: Steering by a token in the packet
+ *
+ * For a fabric in which both ends of a flow repeat a token that the node wrote
+ * into the SYN. The token names the backend server, so any node can send any
+ * later packet on without state and without a message to another node. What is
+ * left to decide is where a new flow goes, and when it is refused.
+ *
+ * Functions take the time and an event and say what is to be done; they do no
+ * input or output. All of them take the node's lock.
+ */
+#ifndef CHERVILMAST_STEER_H
+#define CHERVILMAST_STEER_H
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "chervilmast/counter.h"
+#include "chervilmast/steer_flow.h"
+#include "chervilmast/steer_plan.h"
+#include "chervilmast/steer_server.h"
+
+/** Most failure domains that may be out at once. */
+#define CM_STEER_DOMAINS_OUT_MAX 16
+
+/** Opens a flow. */
+#define CM_STEER_SYN 1
+/** Acknowledges bytes of the other end. */
+#define CM_STEER_ACK 2
+/** Last bytes of its sender. */
+#define CM_STEER_FIN 4
+/** Ends a flow at once. */
+#define CM_STEER_RST 8
+
+/**
+ * struct cm_steer_packet - what steering reads of a caller's packet
+ * @key: ends of its flow
+ * @token: token that it carries; 0 for none
+ * @flags: CM_STEER_SYN and others
+ * @repeats: SYNs of this flow that were sent before
+ * @length: bytes of data
+ */
+struct cm_steer_packet {
+	struct cm_flow_key key;
+	uint32_t token;
+	uint8_t flags;
+	uint32_t repeats;
+	uint32_t length;
+};
+
+/**
+ * enum cm_steer_kind - what is to be done with a packet
+ * @CM_STEER_DROP: nothing
+ * @CM_STEER_FORWARD: send it to a backend server, with the token
+ * @CM_STEER_RESET: end the flow with a reset to the caller
+ */
+enum cm_steer_kind {
+	CM_STEER_DROP,
+	CM_STEER_FORWARD,
+	CM_STEER_RESET,
+};
+
+/**
+ * struct cm_steer_verdict - what is to be done with a packet, and why
+ * @kind: what
+ * @reason: counter of the reason; CM_C_STEER_PLACED, CM_C_STEER_PLACED_AGAIN
+ *          or CM_C_STEER_BY_TOKEN when it is sent on
+ * @token: token to write into the packet
+ * @server_id: id of the server
+ * @server: where it takes datagrams
+ * @service: service of a new flow; empty where it is not known
+ * @plan_version: version of the plan that decided
+ * @plan_age_ms: time since the registry was last heard of
+ */
+struct cm_steer_verdict {
+	enum cm_steer_kind kind;
+	enum cm_counter reason;
+	uint32_t token;
+	uint64_t server_id;
+	struct cm_endpoint server;
+	char service[CM_NAME_SIZE];
+	uint64_t plan_version;
+	uint64_t plan_age_ms;
+};
+
+/**
+ * struct cm_steer_config - settings of a node
+ * @domain: its own failure domain
+ * @flows_max: most flows that it remembers
+ * @flow_life_ms: longest life of a flow, ms
+ * @domain_out_ms: time in which packets may still be sent to a failure domain
+ *                 that was taken out, ms
+ * @fresh_ms: age of the registry's word up to which unknown addresses are
+ *            answered with a reset, ms
+ * @lapse_ms: time after the return of the registry in which an entry that went
+ *            meanwhile may come back, ms
+ */
+struct cm_steer_config {
+	char domain[CM_NAME_SIZE];
+	uint32_t flows_max;
+	uint32_t flow_life_ms;
+	uint32_t domain_out_ms;
+	uint32_t fresh_ms;
+	uint32_t lapse_ms;
+};
+
+/**
+ * struct cm_domain_out - a failure domain that was taken out
+ * @name: its name
+ * @since_ms: when this node heard of it
+ * @is_seen: the present snapshot of the registry has it
+ */
+struct cm_domain_out {
+	char name[CM_NAME_SIZE];
+	uint64_t since_ms;
+	bool is_seen;
+};
+
+/**
+ * struct cm_steer - a node that steers by token
+ * @lock: guards all below but @counters
+ * @config: its settings
+ * @plan: the plan in force; version 0 before the first
+ * @servers: the backend servers
+ * @flows: flows that it saw opening
+ * @out: failure domains that are out
+ * @out_count: number of @out
+ * @heard_ms: when the registry was last heard of; 0 for never
+ * @returned_ms: when it was last heard of again after an outage
+ * @is_away: the registry can't be reached
+ * @is_leaving: the node is in graceful shutdown
+ * @ticked_ms: time of the last tick
+ * @active_ms: clock that stands while the node is paused
+ * @choices: choices so far
+ * @last_flow_ms: when a packet was last sent on
+ * @counters: counters
+ */
+struct cm_steer {
+	pthread_mutex_t lock;
+	struct cm_steer_config config;
+	struct cm_steer_plan plan;
+	struct cm_steer_servers servers;
+	struct cm_steer_flows flows;
+	struct cm_domain_out out[CM_STEER_DOMAINS_OUT_MAX];
+	uint32_t out_count;
+	uint64_t heard_ms;
+	uint64_t returned_ms;
+	bool is_away;
+	bool is_leaving;
+	uint64_t ticked_ms;
+	uint64_t active_ms;
+	uint64_t choices;
+	uint64_t last_flow_ms;
+	struct cm_counters counters;
+};
+
+/**
+ * cm_steer_init() - make a node that knows nothing yet
+ * @steer: memory of the caller
+ * @config: its settings; copied
+ */
+void cm_steer_init(struct cm_steer *steer,
+		   const struct cm_steer_config *config);
+
+/**
+ * cm_steer_finish() - free what a node holds
+ * @steer: the node; its memory stays the caller's
+ */
+void cm_steer_finish(struct cm_steer *steer);
+
+/**
+ * cm_steer_packet() - decide what is to be done with a caller's packet
+ * @steer: the node
+ * @now_ms: current time
+ * @packet: the packet
+ * @verdict: set
+ */
+void cm_steer_packet(struct cm_steer *steer, uint64_t now_ms,
+		     const struct cm_steer_packet *packet,
+		     struct cm_steer_verdict *verdict);
+
+/**
+ * cm_steer_tick() - judge what only time tells
+ * @steer: the node
+ * @now_ms: current time
+ *
+ * Call it some times a second, when all packets that came were given to
+ * cm_steer_packet(): a SYN is found unanswered here.
+ */
+void cm_steer_tick(struct cm_steer *steer, uint64_t now_ms);
+
+/**
+ * cm_steer_set_plan() - put a plan in force
+ * @steer: the node
+ * @plan: a sealed plan; its content is taken over and @plan is empty afterwards
+ *
+ * Return: 0, or CM_E_STALE when a plan of this or a higher version is in
+ * force.
+ */
+int cm_steer_set_plan(struct cm_steer *steer, struct cm_steer_plan *plan);
+
+/**
+ * cm_steer_put_server() - take what the registry says of a server
+ * @steer: the node
+ * @now_ms: current time
+ * @entry: what it says
+ *
+ * Return: 0 or an error of cm_steer_servers_put().
+ */
+int cm_steer_put_server(struct cm_steer *steer, uint64_t now_ms,
+			const struct cm_server_entry *entry);
+
+/**
+ * cm_steer_remove_server() - the registry's entry of a server went
+ * @steer: the node
+ * @now_ms: current time
+ * @id: id of the server
+ */
+void cm_steer_remove_server(struct cm_steer *steer, uint64_t now_ms,
+			    uint64_t id);
+
+/**
+ * cm_steer_set_domain_out() - take a failure domain out, or back
+ * @steer: the node
+ * @now_ms: current time
+ * @domain: its name
+ * @is_out: whether it is out
+ *
+ * Return: 0 or CM_E_TOO_LARGE when too many are out.
+ */
+int cm_steer_set_domain_out(struct cm_steer *steer, uint64_t now_ms,
+			    const char *domain, bool is_out);
+
+/**
+ * cm_steer_heard() - the registry answered
+ * @steer: the node
+ * @now_ms: when it was asked
+ */
+void cm_steer_heard(struct cm_steer *steer, uint64_t now_ms);
+
+/**
+ * cm_steer_lost() - the registry did not answer
+ * @steer: the node
+ */
+void cm_steer_lost(struct cm_steer *steer);
+
+/**
+ * cm_steer_snapshot_begin() - all that the registry holds is about to be told
+ * @steer: the node
+ */
+void cm_steer_snapshot_begin(struct cm_steer *steer);
+
+/**
+ * cm_steer_snapshot_end() - all that the registry holds was told
+ * @steer: the node
+ * @now_ms: current time
+ *
+ * What was not told since cm_steer_snapshot_begin() is gone.
+ */
+void cm_steer_snapshot_end(struct cm_steer *steer, uint64_t now_ms);
+
+/**
+ * cm_steer_leave() - begin a graceful shutdown
+ * @steer: the node
+ */
+void cm_steer_leave(struct cm_steer *steer);
+
+/**
+ * cm_steer_is_ready() - whether the fabric should give packets to this node
+ * @steer: the node
+ * @now_ms: current time
+ *
+ * Return: true when it should.
+ */
+bool cm_steer_is_ready(struct cm_steer *steer, uint64_t now_ms);
+
+/**
+ * cm_steer_idle_ms() - time since a packet was last sent on
+ * @steer: the node
+ * @now_ms: current time
+ *
+ * Return: milliseconds.
+ */
+uint64_t cm_steer_idle_ms(struct cm_steer *steer, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/include/chervilmast/steer_choice.h
@@ -0,0 +1,36 @@
+/**
+ * DOC: Choice of the backend server of a new flow
+ *
+ * A pure decision over the servers that a node knows. Servers of the own
+ * failure domain are preferred while they answer and are not clearly slower or
+ * fuller than others; among equals the one that was not chosen for longest is
+ * taken, so that each node spreads its flows evenly.
+ */
+#ifndef CHERVILMAST_STEER_CHOICE_H
+#define CHERVILMAST_STEER_CHOICE_H
+
+#include "chervilmast/steer.h"
+
+/**
+ * struct cm_choice - what a choice is about
+ * @service: service of the flow
+ * @avoid_token: server that did not answer the flow's last SYN; 0 for none
+ * @now_ms: current time
+ */
+struct cm_choice {
+	const char *service;
+	uint32_t avoid_token;
+	uint64_t now_ms;
+};
+
+/**
+ * cm_steer_choose() - choose a server
+ * @steer: the node; its lock is held
+ * @choice: what it is about
+ *
+ * Return: the server, or NULL when none may get the flow.
+ */
+struct cm_steer_server *cm_steer_choose(struct cm_steer *steer,
+					const struct cm_choice *choice);
+
+#endif
--- /dev/null
+++ b/include/chervilmast/steer_plan.h
@@ -0,0 +1,143 @@
+/**
+ * DOC: Plan of a node that steers by token
+ *
+ * One version of what the operators want: which public addresses lead to which
+ * services. A plan is built once, sealed and then only read.
+ */
+#ifndef CHERVILMAST_STEER_PLAN_H
+#define CHERVILMAST_STEER_PLAN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "chervilmast/flow_key.h"
+#include "chervilmast/note.h"
+
+/** Most services that one route may be split between. */
+#define CM_ROUTE_TARGETS_MAX 8
+
+/**
+ * struct cm_route_target - a service that a route leads to
+ * @service: name of the service
+ * @weight: its share of the route's flows
+ */
+struct cm_route_target {
+	char service[CM_NAME_SIZE];
+	uint32_t weight;
+};
+
+/**
+ * struct cm_steer_route - a public address
+ * @address: where callers send to
+ * @target_count: number of @targets
+ * @targets: the services that it leads to
+ */
+struct cm_steer_route {
+	struct cm_endpoint address;
+	uint32_t target_count;
+	struct cm_route_target targets[CM_ROUTE_TARGETS_MAX];
+};
+
+/**
+ * struct cm_steer_service - a service
+ * @name: its name
+ * @cold_per_s: new flows a second that one of its servers bears during its cold
+ *              start; 0 when no limit is known
+ */
+struct cm_steer_service {
+	char name[CM_NAME_SIZE];
+	uint32_t cold_per_s;
+};
+
+/**
+ * struct cm_steer_plan - one version of the operators' wishes
+ * @version: grows from plan to plan
+ * @routes: the routes, by address once sealed
+ * @route_count: number of @routes
+ * @services: the services, by name once sealed
+ * @service_count: number of @services
+ */
+struct cm_steer_plan {
+	uint64_t version;
+	struct cm_steer_route *routes;
+	size_t route_count;
+	struct cm_steer_service *services;
+	size_t service_count;
+};
+
+/**
+ * cm_steer_plan_init() - make a plan without content
+ * @plan: memory of the caller
+ * @version: its version
+ * @routes: routes that it will have room for
+ * @services: services that it will have room for
+ *
+ * Return: 0 or CM_E_MEMORY.
+ */
+int cm_steer_plan_init(struct cm_steer_plan *plan, uint64_t version,
+		       size_t routes, size_t services);
+
+/**
+ * cm_steer_plan_finish() - free what a plan holds
+ * @plan: the plan; its memory stays the caller's
+ */
+void cm_steer_plan_finish(struct cm_steer_plan *plan);
+
+/**
+ * cm_steer_plan_add_route() - add a route to a plan that is being built
+ * @plan: the plan, with room left
+ * @route: the route; copied
+ */
+void cm_steer_plan_add_route(struct cm_steer_plan *plan,
+			     const struct cm_steer_route *route);
+
+/**
+ * cm_steer_plan_add_service() - add a service to a plan that is being built
+ * @plan: the plan, with room left
+ * @service: the service; copied
+ */
+void cm_steer_plan_add_service(struct cm_steer_plan *plan,
+			       const struct cm_steer_service *service);
+
+/**
+ * cm_steer_plan_seal() - end the building of a plan
+ * @plan: the plan
+ *
+ * Return: 0, CM_E_SAME_ENDPOINT when two routes share an address, or
+ * CM_E_REPEATED when two services share a name.
+ */
+int cm_steer_plan_seal(struct cm_steer_plan *plan);
+
+/**
+ * cm_steer_plan_route() - the route of an address
+ * @plan: a sealed plan
+ * @address: where a caller sends to
+ *
+ * Return: the route, or NULL when there is none.
+ */
+const struct cm_steer_route *
+cm_steer_plan_route(const struct cm_steer_plan *plan,
+		    const struct cm_endpoint *address);
+
+/**
+ * cm_steer_plan_service() - the service of a name
+ * @plan: a sealed plan
+ * @name: its name
+ *
+ * Return: the service, or NULL when there is none.
+ */
+const struct cm_steer_service *
+cm_steer_plan_service(const struct cm_steer_plan *plan, const char *name);
+
+/**
+ * cm_steer_route_service() - the service that takes a flow
+ * @route: its route
+ * @hash: hash of the flow; its repeated SYNs come to the same service
+ *
+ * Return: name of the service, or NULL when every weight is 0.
+ */
+const char *cm_steer_route_service(const struct cm_steer_route *route,
+				   uint64_t hash);
+
+#endif
--- a/src/adapters/etcd_store.h
+++ b/src/adapters/etcd_store.h
@@ -10,24 +10,19 @@
 
 #include <stdint.h>
 
+#include "http_client.h"
 #include "ports/store.h"
 
 /**
  * struct cm_etcd_store - a store reached over HTTP
  * @base: the port; must stay the first member
- * @curl: handle of the HTTP library
- * @url: base URL
+ * @http: client of its server
  * @timeout_ms: longest wait for an answer
- * @calls: requests sent so far
- * @interrupted: set to end the request in progress and all later ones
  */
 struct cm_etcd_store {
 	struct cm_store base;
-	void *curl;
-	char *url;
+	struct cm_http_client http;
 	uint32_t timeout_ms;
-	uint64_t calls;
-	uint32_t interrupted;
 };
 
 /**
--- /dev/null
+++ b/src/adapters/http_client.h
@@ -0,0 +1,114 @@
+/**
+ * DOC: HTTP client
+ *
+ * Requests to one server, one after the other over a connection that is kept.
+ * Not safe for use by several threads at once, but for cm_http_interrupt() and
+ * cm_http_calls().
+ */
+#ifndef ADAPTERS_HTTP_CLIENT_H
+#define ADAPTERS_HTTP_CLIENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * struct cm_http_client - a client of one server
+ * @curl: handle of the HTTP library
+ * @url: base URL
+ * @headers: headers of requests with a body
+ * @calls: requests sent so far
+ * @interrupted: set to end the request in progress and all later ones
+ */
+struct cm_http_client {
+	void *curl;
+	char *url;
+	void *headers;
+	uint64_t calls;
+	uint32_t interrupted;
+};
+
+/**
+ * struct cm_http_request - a request
+ * @path: path and query below the base URL
+ * @body: JSON text to POST, or NULL for a GET
+ * @timeout_ms: longest wait for the whole answer
+ * @more: called with all of the body so far whenever some of it came; returns
+ *        false to end the transfer; may be NULL
+ * @user: for @more
+ */
+struct cm_http_request {
+	const char *path;
+	const char *body;
+	uint32_t timeout_ms;
+	bool (*more)(void *user, const char *text, size_t length);
+	void *user;
+};
+
+/**
+ * struct cm_http_answer - an answer
+ * @status: HTTP status
+ * @text: the body, NUL-terminated; freed by cm_http_answer_finish()
+ * @length: bytes of @text
+ */
+struct cm_http_answer {
+	unsigned int status;
+	char *text;
+	size_t length;
+};
+
+/**
+ * cm_http_client_init() - make a client
+ * @client: memory of the caller
+ * @url: base URL, as in "http://127.0.0.1:2379"; copied
+ *
+ * Return: 0 or CM_E_MEMORY.
+ */
+int cm_http_client_init(struct cm_http_client *client, const char *url);
+
+/**
+ * cm_http_client_finish() - end
+ * @client: the client; its memory stays the caller's
+ */
+void cm_http_client_finish(struct cm_http_client *client);
+
+/**
+ * cm_http_call() - send a request and wait for its answer
+ * @client: the client
+ * @request: the request
+ * @answer: set, also on failure; ended with cm_http_answer_finish()
+ *
+ * Return: 0 whatever the status, CM_E_TIMEOUT, CM_E_TOO_LARGE,
+ * CM_E_INTERRUPTED when @more ended the transfer, CM_E_UNAVAILABLE or
+ * CM_E_MEMORY.
+ */
+int cm_http_call(struct cm_http_client *client,
+		 const struct cm_http_request *request,
+		 struct cm_http_answer *answer);
+
+/**
+ * cm_http_answer_finish() - free what an answer holds
+ * @answer: the answer; its memory stays the caller's
+ */
+void cm_http_answer_finish(struct cm_http_answer *answer);
+
+/**
+ * cm_http_interrupt() - end the request in progress and all later ones
+ * @client: the client
+ *
+ * They return CM_E_UNAVAILABLE within about a second. May be called by
+ * another thread.
+ */
+void cm_http_interrupt(struct cm_http_client *client);
+
+/**
+ * cm_http_calls() - requests sent so far
+ * @client: the client
+ *
+ * May be called by another thread.
+ *
+ * Return: their number, a waiting watch counted as one.
+ */
+uint64_t cm_http_calls(const struct cm_http_client *client);
+
+#endif
--- a/src/adapters/socket.c
+++ b/src/adapters/socket.c
@@ -1,7 +1,14 @@
 #include "socket.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chervilmast/error.h"
+
+#define PORT_MAX 65535
 
 struct sockaddr_in cm_socket_address(const struct cm_endpoint *endpoint)
 {
@@ -35,3 +42,39 @@
 		 endpoint->port);
 	return text;
 }
+
+int cm_port_parse(uint16_t *port, const char *text, const char **end)
+{
+	char *rest;
+	unsigned long number;
+
+	if (!isdigit((unsigned char)*text))
+		return CM_E_BAD_ADDRESS;
+	number = strtoul(text, &rest, 10);
+	if (!number || number > PORT_MAX)
+		return CM_E_BAD_ADDRESS;
+	*port = (uint16_t)number;
+	*end = rest;
+	return CM_OK;
+}
+
+int cm_endpoint_parse(struct cm_endpoint *endpoint, const char *text)
+{
+	const char *colon = strchr(text, ':');
+	char host[INET_ADDRSTRLEN];
+	struct in_addr address;
+	const char *end;
+	uint16_t port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(host))
+		return CM_E_BAD_ADDRESS;
+	memcpy(host, text, (size_t)(colon - text));
+	host[colon - text] = '\0';
+	if (inet_pton(AF_INET, host, &address) != 1 || !address.s_addr)
+		return CM_E_BAD_ADDRESS;
+	if (cm_port_parse(&port, colon + 1, &end) || *end)
+		return CM_E_BAD_ADDRESS;
+	endpoint->address = ntohl(address.s_addr);
+	endpoint->port = port;
+	return CM_OK;
+}
--- a/src/adapters/socket.h
+++ b/src/adapters/socket.h
@@ -38,4 +38,23 @@
  */
 const char *cm_endpoint_write(const struct cm_endpoint *endpoint, char *text);
 
+/**
+ * cm_endpoint_parse() - endpoint from text as in "192.0.2.1:80"
+ * @endpoint: set on success; its protocol stays as it is
+ * @text: the text
+ *
+ * Return: 0 or CM_E_BAD_ADDRESS.
+ */
+int cm_endpoint_parse(struct cm_endpoint *endpoint, const char *text);
+
+/**
+ * cm_port_parse() - port from text
+ * @port: set on success
+ * @text: begins with the port in decimal
+ * @end: set to what follows it
+ *
+ * Return: 0 or CM_E_BAD_ADDRESS.
+ */
+int cm_port_parse(uint16_t *port, const char *text, const char **end);
+
 #endif
--- /dev/null
+++ b/src/adapters/udp_batch.c
@@ -0,0 +1,102 @@
+#include "udp_batch.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <string.h>
+#include <time.h>
+
+#include "chervilmast/error.h"
+#include "socket.h"
+
+#define MS_PER_S 1000
+#define NS_PER_MS 1000000
+
+int cm_udp_batch_init(struct cm_udp_batch *batch,
+		      const struct cm_endpoint *address)
+{
+	batch->count = 0;
+	batch->out_count = 0;
+	return cm_udp_link_init(&batch->link, address);
+}
+
+void cm_udp_batch_finish(struct cm_udp_batch *batch)
+{
+	cm_udp_link_finish(&batch->link);
+}
+
+static int take_waiting(struct cm_udp_batch *batch)
+{
+	struct mmsghdr messages[CM_UDP_BATCH];
+	struct iovec parts[CM_UDP_BATCH];
+	int got;
+
+	memset(messages, 0, sizeof(messages));
+	for (size_t i = 0; i < CM_UDP_BATCH; i++) {
+		parts[i].iov_base = batch->came[i].bytes;
+		parts[i].iov_len = CM_FABRIC_PACKET_MAX;
+		messages[i].msg_hdr.msg_iov = &parts[i];
+		messages[i].msg_hdr.msg_iovlen = 1;
+	}
+	got = recvmmsg(batch->link.fd, messages, CM_UDP_BATCH, MSG_DONTWAIT,
+		       NULL);
+	if (got < 0)
+		return errno == EBADF ? CM_E_IO : CM_OK;
+	for (int i = 0; i < got; i++)
+		batch->came[i].length = messages[i].msg_len;
+	batch->count = (size_t)got;
+	return CM_OK;
+}
+
+int cm_udp_batch_receive(struct cm_udp_batch *batch, uint32_t timeout_ms,
+			 const sigset_t *signals)
+{
+	struct pollfd poll_fd = { .fd = batch->link.fd, .events = POLLIN };
+	struct timespec wait = {
+		.tv_sec = timeout_ms / MS_PER_S,
+		.tv_nsec = (long)(timeout_ms % MS_PER_S) * NS_PER_MS,
+	};
+
+	batch->count = 0;
+	if (ppoll(&poll_fd, 1, &wait, signals) <= 0)
+		return CM_OK;
+	return take_waiting(batch);
+}
+
+void cm_udp_batch_add(struct cm_udp_batch *batch, const uint8_t *bytes,
+		      size_t length, const struct cm_endpoint *to)
+{
+	size_t at = batch->out_count++;
+	struct msghdr *header = &batch->out[at].msg_hdr;
+
+	batch->out_to[at] = cm_socket_address(to);
+	batch->out_parts[at].iov_base = (void *)bytes;
+	batch->out_parts[at].iov_len = length;
+	memset(header, 0, sizeof(*header));
+	header->msg_name = &batch->out_to[at];
+	header->msg_namelen = sizeof(batch->out_to[at]);
+	header->msg_iov = &batch->out_parts[at];
+	header->msg_iovlen = 1;
+}
+
+/* A datagram that is refused keeps the ones behind it from being sent. */
+size_t cm_udp_batch_send(struct cm_udp_batch *batch)
+{
+	size_t refused = 0;
+	size_t at = 0;
+
+	while (at < batch->out_count) {
+		int sent = sendmmsg(batch->link.fd, batch->out + at,
+				    (unsigned int)(batch->out_count - at), 0);
+
+		if (sent > 0) {
+			at += (size_t)sent;
+			continue;
+		}
+		if (sent < 0 && errno == EINTR)
+			continue;
+		refused++;
+		at++;
+	}
+	batch->out_count = 0;
+	return refused;
+}
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -45,6 +45,7 @@
 };
 
 extern const struct cm_command cm_command_entry;
+extern const struct cm_command cm_command_steer;
 extern const struct cm_command cm_command_check;
 extern const struct cm_command cm_command_publish;
 extern const struct cm_command cm_command_status;
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -5,11 +5,8 @@
 #include "command.h"
 
 static const struct cm_command *const commands[] = {
-	&cm_command_entry,
-	&cm_command_check,
-	&cm_command_publish,
-	&cm_command_status,
-	NULL,
+	&cm_command_entry,   &cm_command_steer,	 &cm_command_check,
+	&cm_command_publish, &cm_command_status, NULL,
 };
 
 static void print_usage(FILE *stream)
--- a/src/config/json_reader.c
+++ b/src/config/json_reader.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "adapters/socket.h"
 #include "chervilmast/error.h"
 #include "chervilmast/note.h"
 
@@ -118,6 +119,20 @@
 	return CM_OK;
 }
 
+static int read_endpoint(const struct cm_json_scope *scope,
+			 const struct cm_json_field *field, const json_t *value,
+			 struct cm_endpoint *target,
+			 struct cm_json_error *error)
+{
+	const char *text = json_string_value(value);
+
+	if (!text)
+		return cm_json_fail(error, scope, field->key, CM_E_WRONG_TYPE);
+	if (cm_endpoint_parse(target, text))
+		return cm_json_fail(error, scope, field->key, CM_E_BAD_ADDRESS);
+	return CM_OK;
+}
+
 static int read_integer(const struct cm_json_scope *scope,
 			const struct cm_json_field *field, const json_t *value,
 			void *target, struct cm_json_error *error)
@@ -180,6 +195,8 @@
 		return read_text(scope, field, value, at, error);
 	case CM_JSON_ADDRESS:
 		return read_address(scope, field, value, at, error);
+	case CM_JSON_ENDPOINT:
+		return read_endpoint(scope, field, value, at, error);
 	case CM_JSON_U16:
 	case CM_JSON_U32:
 		return read_integer(scope, field, value, at, error);
@@ -245,6 +262,13 @@
 	return json_string(text);
 }
 
+static json_t *write_endpoint(const struct cm_endpoint *endpoint)
+{
+	char text[CM_ENDPOINT_TEXT_SIZE];
+
+	return json_string(cm_endpoint_write(endpoint, text));
+}
+
 static json_t *write_field(const struct cm_json_field *field,
 			   const void *source)
 {
@@ -256,6 +280,8 @@
 		return json_string(at);
 	case CM_JSON_ADDRESS:
 		return write_address(*(const uint32_t *)at);
+	case CM_JSON_ENDPOINT:
+		return write_endpoint(at);
 	case CM_JSON_U16:
 		return json_integer(*(const uint16_t *)at);
 	case CM_JSON_U32:
--- a/src/config/json_reader.h
+++ b/src/config/json_reader.h
@@ -58,6 +58,8 @@
  * @CM_JSON_NAME: string of 1 to 31 letters, digits, '-', '_' and '.'
  * @CM_JSON_TEXT: string of at most @size less one bytes
  * @CM_JSON_ADDRESS: IPv4 address in dotted form into a uint32_t
+ * @CM_JSON_ENDPOINT: string as in "192.0.2.1:80" into a struct cm_endpoint,
+ *                    whose protocol stays as it is
  * @CM_JSON_U16: integer into a uint16_t
  * @CM_JSON_U32: integer into a uint32_t
  * @CM_JSON_CHOICE: one of some strings into an int-sized enum
@@ -67,6 +69,7 @@
 	CM_JSON_NAME,
 	CM_JSON_TEXT,
 	CM_JSON_ADDRESS,
+	CM_JSON_ENDPOINT,
 	CM_JSON_U16,
 	CM_JSON_U32,
 	CM_JSON_CHOICE,
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -5,6 +5,7 @@
 
 #include "chervilmast/error.h"
 #include "endpoint_fields.h"
+#include "log_levels.h"
 
 #define STORE_TIMEOUT_MS_MIN 10
 #define STORE_TIMEOUT_MS_MAX 60000
@@ -18,8 +19,8 @@
 #define DRAIN_TIMEOUT_S_DEFAULT 30
 #define ADMIN_PORT_DEFAULT 9100
 
-static const char *const log_levels[] = { "error", "warning", "info", "debug",
-					  NULL };
+const char *const cm_log_levels[] = { "error", "warning", "info", "debug",
+				      NULL };
 static const char *const root_keys[] = { "name",
 					 "failure_domain",
 					 "data",
@@ -86,7 +87,7 @@
 	  .type = CM_JSON_CHOICE,
 	  .offset = offsetof(struct cm_settings, log_level),
 	  .optional = true,
-	  .choices = log_levels },
+	  .choices = cm_log_levels },
 	{ .key = NULL },
 };
 
--- /dev/null
+++ b/src/config/steer_settings.c
@@ -0,0 +1,91 @@
+#include "steer_settings.h"
+
+#include <netinet/in.h>
+
+#include "chervilmast/error.h"
+#include "log_levels.h"
+
+#define STORE_TIMEOUT_MS_MIN 10
+#define STORE_TIMEOUT_MS_MAX 60000
+#define STORE_TIMEOUT_MS_DEFAULT 500
+#define BOUND_MS_MIN 100
+#define BOUND_MS_MAX 600000
+#define LAPSE_MS_DEFAULT 2500
+#define FLOW_LIFE_S_MAX 86400
+#define STOP_TIMEOUT_S_MAX 3600
+#define FLOWS_MIN 64
+#define FLOWS_MAX 10000000
+#define FLOWS_DEFAULT 65536
+#define LOG_LINES_MAX 100000
+#define LOG_LINES_DEFAULT 50
+
+#define NAME_FIELD(name, member)                                     \
+	{                                                            \
+		.key = (name), .type = CM_JSON_NAME,                 \
+		.offset = offsetof(struct cm_steer_settings, member) \
+	}
+#define ENDPOINT_FIELD(name)                                       \
+	{                                                          \
+		.key = #name, .type = CM_JSON_ENDPOINT,            \
+		.offset = offsetof(struct cm_steer_settings, name) \
+	}
+#define NUMBER_FIELD(name, is_optional, least, most)                \
+	{                                                           \
+		.key = #name, .type = CM_JSON_U32,                  \
+		.offset = offsetof(struct cm_steer_settings, name), \
+		.optional = (is_optional), .minimum = (least),      \
+		.maximum = (most)                                   \
+	}
+
+static const struct cm_json_field fields[] = {
+	NAME_FIELD("name", name),
+	NAME_FIELD("failure_domain", domain),
+	ENDPOINT_FIELD(packets),
+	ENDPOINT_FIELD(ready),
+	ENDPOINT_FIELD(metrics),
+	{ .key = "store_url",
+	  .type = CM_JSON_TEXT,
+	  .offset = offsetof(struct cm_steer_settings, store_url),
+	  .size = CM_TEXT_SIZE },
+	NUMBER_FIELD(store_timeout_ms, true, STORE_TIMEOUT_MS_MIN,
+		     STORE_TIMEOUT_MS_MAX),
+	NUMBER_FIELD(server_leave_ms, false, BOUND_MS_MIN, BOUND_MS_MAX),
+	NUMBER_FIELD(domain_out_ms, false, BOUND_MS_MIN, BOUND_MS_MAX),
+	NUMBER_FIELD(plan_ms, false, BOUND_MS_MIN, BOUND_MS_MAX),
+	NUMBER_FIELD(lapse_ms, true, 0, BOUND_MS_MAX),
+	NUMBER_FIELD(flow_life_s, false, 1, FLOW_LIFE_S_MAX),
+	NUMBER_FIELD(stop_timeout_s, false, 0, STOP_TIMEOUT_S_MAX),
+	NUMBER_FIELD(flows_max, true, FLOWS_MIN, FLOWS_MAX),
+	{ .key = "log_level",
+	  .type = CM_JSON_CHOICE,
+	  .offset = offsetof(struct cm_steer_settings, log_level),
+	  .optional = true,
+	  .choices = cm_log_levels },
+	NUMBER_FIELD(log_lines_per_s, true, 0, LOG_LINES_MAX),
+	{ .key = NULL },
+};
+
+int cm_steer_settings_read_file(struct cm_steer_settings *settings,
+				const char *path, struct cm_json_error *error)
+{
+	struct cm_json_scope root = { .parent = NULL };
+	struct cm_steer_settings read = {
+		.packets.protocol = IPPROTO_UDP,
+		.ready.protocol = IPPROTO_TCP,
+		.metrics.protocol = IPPROTO_TCP,
+		.store_timeout_ms = STORE_TIMEOUT_MS_DEFAULT,
+		.lapse_ms = LAPSE_MS_DEFAULT,
+		.flows_max = FLOWS_DEFAULT,
+		.log_level = CM_LOG_INFO,
+		.log_lines_per_s = LOG_LINES_DEFAULT,
+	};
+	int result = cm_json_load_file(path, &root.value, error);
+
+	if (result)
+		return result;
+	result = cm_json_read_fields(&root, fields, &read, false, NULL, error);
+	json_decref(root.value);
+	if (!result)
+		*settings = read;
+	return result;
+}
--- /dev/null
+++ b/src/core/steer.c
@@ -0,0 +1,339 @@
+#include "chervilmast/steer.h"
+
+#include <string.h>
+
+#include "chervilmast/steer_choice.h"
+#include "steer_internal.h"
+
+/** Time after which a SYN without an answer is found unanswered, ms. */
+#define ANSWER_TIMEOUT_MS 150
+/** Longest step of the clock that stands while the node is paused, ms. */
+#define ACTIVE_STEP_MS 60
+/** Time without packets after which a flow is forgotten, ms. */
+#define FLOW_IDLE_MS 5000
+/** SYNs in a row without an answer by which a server can't be reached. */
+#define UNREACHABLE_SYNS 2
+
+void cm_steer_init(struct cm_steer *steer, const struct cm_steer_config *config)
+{
+	memset(steer, 0, sizeof(*steer));
+	pthread_mutex_init(&steer->lock, NULL);
+	steer->config = *config;
+	cm_steer_servers_init(&steer->servers);
+	cm_steer_flows_init(&steer->flows, config->flows_max);
+}
+
+void cm_steer_finish(struct cm_steer *steer)
+{
+	cm_steer_flows_finish(&steer->flows);
+	cm_steer_servers_finish(&steer->servers);
+	cm_steer_plan_finish(&steer->plan);
+	pthread_mutex_destroy(&steer->lock);
+}
+
+static bool is_fresh(const struct cm_steer *steer, uint64_t now_ms)
+{
+	return steer->plan.version &&
+	       now_ms <= steer->heard_ms + steer->config.fresh_ms;
+}
+
+static void set_verdict(struct cm_steer_verdict *verdict,
+			enum cm_steer_kind kind, enum cm_counter reason)
+{
+	verdict->kind = kind;
+	verdict->reason = reason;
+}
+
+/* A refusal must not rest on what has changed meanwhile: then it is silent. */
+static void refuse(const struct cm_steer *steer, uint64_t now_ms,
+		   enum cm_counter reason, struct cm_steer_verdict *verdict)
+{
+	if (is_fresh(steer, now_ms))
+		set_verdict(verdict, CM_STEER_RESET, reason);
+	else
+		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_STALE);
+}
+
+static void send_to(struct cm_steer *steer, uint64_t now_ms,
+		    const struct cm_steer_server *server,
+		    enum cm_counter reason, struct cm_steer_verdict *verdict)
+{
+	set_verdict(verdict, CM_STEER_FORWARD, reason);
+	verdict->token = server->token;
+	verdict->server_id = server->entry.id;
+	verdict->server = server->entry.address;
+	steer->last_flow_ms = now_ms;
+}
+
+static void forget_flow(struct cm_steer *steer, struct cm_steer_flow *flow)
+{
+	struct cm_steer_server *server =
+		cm_steer_servers_by_token(&steer->servers, flow->token);
+
+	if (server && server->open)
+		server->open--;
+	cm_steer_flows_remove(&steer->flows, flow);
+}
+
+static void remember_flow(struct cm_steer *steer, uint64_t now_ms,
+			  const struct cm_flow_key *key,
+			  struct cm_steer_server *server)
+{
+	if (cm_steer_flows_is_full(&steer->flows)) {
+		cm_counters_add(&steer->counters, CM_C_STEER_FLOW_FORGOTTEN);
+		forget_flow(steer, cm_steer_flows_oldest(&steer->flows));
+	}
+	if (cm_steer_flows_add(&steer->flows, key, server->token, now_ms,
+			       steer->active_ms))
+		server->open++;
+	else
+		cm_counters_add(&steer->counters, CM_C_DROP_MEMORY);
+}
+
+static void judge_unanswered(struct cm_steer *steer, struct cm_steer_flow *flow)
+{
+	struct cm_steer_server *server =
+		cm_steer_servers_by_token(&steer->servers, flow->token);
+
+	cm_steer_flows_settle(&steer->flows, flow, false);
+	cm_counters_add(&steer->counters, CM_C_STEER_SYN_UNANSWERED);
+	if (server &&
+	    cm_server_health_unanswered(&server->health, flow->syn_ms))
+		cm_counters_add(&steer->counters, CM_C_STEER_SUSPECTED);
+}
+
+static bool is_overdue(const struct cm_steer *steer,
+		       const struct cm_steer_flow *flow)
+{
+	return steer->active_ms >= flow->syn_active_ms + ANSWER_TIMEOUT_MS;
+}
+
+/* A repeated SYN goes to its server again unless that one seems silent. */
+static bool repeat_syn(struct cm_steer *steer, uint64_t now_ms,
+		       struct cm_steer_flow *flow,
+		       struct cm_steer_verdict *verdict)
+{
+	const struct cm_steer_server *server =
+		cm_steer_servers_by_token(&steer->servers, flow->token);
+
+	if (!server || server->listing == CM_LEFT)
+		return false;
+	if (!flow->is_open && (flow->is_judged || is_overdue(steer, flow)))
+		return false;
+	send_to(steer, now_ms, server, CM_C_STEER_SYN_REPEATED, verdict);
+	return true;
+}
+
+static void place(struct cm_steer *steer, uint64_t now_ms,
+		  const struct cm_steer_packet *packet,
+		  const struct cm_steer_route *route, uint32_t avoid_token,
+		  struct cm_steer_verdict *verdict)
+{
+	struct cm_choice choice = {
+		.service = cm_steer_route_service(
+			route, cm_flow_key_hash(&packet->key)),
+		.avoid_token = avoid_token,
+		.now_ms = now_ms,
+	};
+	struct cm_steer_server *server = NULL;
+
+	if (choice.service) {
+		memcpy(verdict->service, choice.service, CM_NAME_SIZE);
+		server = cm_steer_choose(steer, &choice);
+	}
+	if (!server) {
+		refuse(steer, now_ms, CM_C_STEER_NO_SERVER, verdict);
+		return;
+	}
+	remember_flow(steer, now_ms, &packet->key, server);
+	send_to(steer, now_ms, server,
+		avoid_token ? CM_C_STEER_PLACED_AGAIN : CM_C_STEER_PLACED,
+		verdict);
+}
+
+static void open_flow(struct cm_steer *steer, uint64_t now_ms,
+		      const struct cm_steer_packet *packet,
+		      struct cm_steer_verdict *verdict)
+{
+	const struct cm_steer_route *route =
+		cm_steer_plan_route(&steer->plan, &packet->key.service);
+	struct cm_steer_flow *flow =
+		cm_steer_flows_find(&steer->flows, &packet->key);
+	uint32_t avoid_token = 0;
+
+	if (!route) {
+		refuse(steer, now_ms, CM_C_STEER_NO_ROUTE, verdict);
+		return;
+	}
+	if (flow && packet->repeats && repeat_syn(steer, now_ms, flow, verdict))
+		return;
+	if (flow && packet->repeats && !flow->is_open) {
+		avoid_token = flow->token;
+		if (!flow->is_judged)
+			judge_unanswered(steer, flow);
+	}
+	if (flow)
+		forget_flow(steer, flow);
+	place(steer, now_ms, packet, route, avoid_token, verdict);
+}
+
+static void note_answer(struct cm_steer *steer, uint64_t now_ms,
+			struct cm_steer_flow *flow,
+			struct cm_steer_server *server)
+{
+	if (!flow->is_judged)
+		cm_steer_flows_settle(&steer->flows, flow, true);
+	flow->is_open = true;
+	if (cm_server_health_answered(&server->health, now_ms))
+		cm_counters_add(&steer->counters, CM_C_STEER_CLEARED);
+}
+
+static void follow_flow(struct cm_steer *steer, uint64_t now_ms,
+			const struct cm_steer_packet *packet,
+			struct cm_steer_server *server)
+{
+	struct cm_steer_flow *flow =
+		cm_steer_flows_find(&steer->flows, &packet->key);
+
+	if (!flow || flow->token != packet->token)
+		return;
+	if (!flow->is_open && !(packet->flags & CM_STEER_RST))
+		note_answer(steer, now_ms, flow, server);
+	cm_steer_flows_touch(&steer->flows, flow, now_ms);
+	if (packet->flags & CM_STEER_FIN)
+		cm_server_health_ended(&server->health,
+				       (uint32_t)(now_ms - flow->syn_ms),
+				       now_ms);
+	if (packet->flags & (CM_STEER_FIN | CM_STEER_RST))
+		forget_flow(steer, flow);
+}
+
+static bool domain_is_closed(const struct cm_steer *steer, uint64_t now_ms,
+			     const struct cm_steer_server *server)
+{
+	const struct cm_domain_out *out =
+		cm_steer_domain_out(steer, server->entry.domain);
+
+	return out && now_ms >= out->since_ms + steer->config.domain_out_ms;
+}
+
+static void pass_on(struct cm_steer *steer, uint64_t now_ms,
+		    const struct cm_steer_packet *packet,
+		    struct cm_steer_verdict *verdict)
+{
+	struct cm_steer_server *server;
+
+	if (!packet->token) {
+		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_NO_TOKEN);
+		return;
+	}
+	server = cm_steer_servers_by_token(&steer->servers, packet->token);
+	if (!server) {
+		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_UNKNOWN_TOKEN);
+		return;
+	}
+	if (domain_is_closed(steer, now_ms, server)) {
+		set_verdict(verdict, CM_STEER_DROP, CM_C_DROP_DOMAIN_OUT);
+		return;
+	}
+	follow_flow(steer, now_ms, packet, server);
+	send_to(steer, now_ms, server, CM_C_STEER_BY_TOKEN, verdict);
+}
+
+void cm_steer_packet(struct cm_steer *steer, uint64_t now_ms,
+		     const struct cm_steer_packet *packet,
+		     struct cm_steer_verdict *verdict)
+{
+	memset(verdict, 0, sizeof(*verdict));
+	pthread_mutex_lock(&steer->lock);
+	verdict->plan_version = steer->plan.version;
+	verdict->plan_age_ms =
+		now_ms > steer->heard_ms ? now_ms - steer->heard_ms : 0;
+	if ((packet->flags & CM_STEER_SYN) && !(packet->flags & CM_STEER_ACK))
+		open_flow(steer, now_ms, packet, verdict);
+	else
+		pass_on(steer, now_ms, packet, verdict);
+	pthread_mutex_unlock(&steer->lock);
+	cm_counters_add(&steer->counters, verdict->reason);
+}
+
+static void advance_clock(struct cm_steer *steer, uint64_t now_ms)
+{
+	uint64_t step_ms = steer->ticked_ms ? now_ms - steer->ticked_ms : 0;
+
+	if (now_ms < steer->ticked_ms)
+		step_ms = 0;
+	steer->active_ms += step_ms < ACTIVE_STEP_MS ? step_ms : ACTIVE_STEP_MS;
+	steer->ticked_ms = now_ms;
+}
+
+static void judge_opening(struct cm_steer *steer)
+{
+	struct cm_steer_flow *flow = TAILQ_FIRST(&steer->flows.opening);
+
+	while (flow && is_overdue(steer, flow)) {
+		judge_unanswered(steer, flow);
+		flow = TAILQ_FIRST(&steer->flows.opening);
+	}
+}
+
+static void forget_idle(struct cm_steer *steer, uint64_t now_ms)
+{
+	struct cm_steer_flow *flow = cm_steer_flows_oldest(&steer->flows);
+
+	while (flow && now_ms >= flow->last_ms + FLOW_IDLE_MS) {
+		forget_flow(steer, flow);
+		flow = cm_steer_flows_oldest(&steer->flows);
+	}
+}
+
+void cm_steer_tick(struct cm_steer *steer, uint64_t now_ms)
+{
+	pthread_mutex_lock(&steer->lock);
+	advance_clock(steer, now_ms);
+	judge_opening(steer);
+	forget_idle(steer, now_ms);
+	if (now_ms > steer->config.flow_life_ms)
+		cm_steer_servers_sweep(&steer->servers,
+				       now_ms - steer->config.flow_life_ms);
+	pthread_mutex_unlock(&steer->lock);
+}
+
+void cm_steer_leave(struct cm_steer *steer)
+{
+	pthread_mutex_lock(&steer->lock);
+	steer->is_leaving = true;
+	pthread_mutex_unlock(&steer->lock);
+}
+
+static bool reaches_a_server(const struct cm_steer *steer, uint64_t now_ms)
+{
+	const struct cm_steer_server *server;
+
+	TAILQ_FOREACH (server, &steer->servers.all, link)
+		if (cm_steer_server_is_usable(steer, server, now_ms) &&
+		    server->health.unanswered < UNREACHABLE_SYNS)
+			return true;
+	return false;
+}
+
+bool cm_steer_is_ready(struct cm_steer *steer, uint64_t now_ms)
+{
+	bool ready;
+
+	pthread_mutex_lock(&steer->lock);
+	ready = steer->plan.version && !steer->is_leaving &&
+		reaches_a_server(steer, now_ms);
+	pthread_mutex_unlock(&steer->lock);
+	return ready;
+}
+
+uint64_t cm_steer_idle_ms(struct cm_steer *steer, uint64_t now_ms)
+{
+	uint64_t idle_ms;
+
+	pthread_mutex_lock(&steer->lock);
+	idle_ms = now_ms - steer->last_flow_ms;
+	pthread_mutex_unlock(&steer->lock);
+	return idle_ms;
+}
--- /dev/null
+++ b/src/core/steer_internal.h
@@ -0,0 +1,31 @@
+/**
+ * DOC: What the modules of steering share
+ */
+#ifndef CORE_STEER_INTERNAL_H
+#define CORE_STEER_INTERNAL_H
+
+#include "chervilmast/steer.h"
+
+/**
+ * cm_steer_domain_out() - find a failure domain that was taken out
+ * @steer: the node; its lock is held
+ * @name: name of the failure domain
+ *
+ * Return: what is known of it, or NULL when it is not out.
+ */
+struct cm_domain_out *cm_steer_domain_out(const struct cm_steer *steer,
+					  const char *name);
+
+/**
+ * cm_steer_server_is_usable() - whether a server may get new flows
+ * @steer: the node; its lock is held
+ * @server: the server
+ * @now_ms: current time
+ *
+ * Return: true when the registry and the operators allow it.
+ */
+bool cm_steer_server_is_usable(const struct cm_steer *steer,
+			       const struct cm_steer_server *server,
+			       uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/core/steer_registry.c
@@ -0,0 +1,165 @@
+#include <string.h>
+
+#include "chervilmast/error.h"
+#include "steer_internal.h"
+
+struct cm_domain_out *cm_steer_domain_out(const struct cm_steer *steer,
+					  const char *name)
+{
+	for (uint32_t i = 0; i < steer->out_count; i++)
+		if (!strcmp(steer->out[i].name, name))
+			return (struct cm_domain_out *)&steer->out[i];
+	return NULL;
+}
+
+bool cm_steer_server_is_usable(const struct cm_steer *steer,
+			       const struct cm_steer_server *server,
+			       uint64_t now_ms)
+{
+	if (server->listing == CM_LEFT || server->entry.is_draining)
+		return false;
+	if (server->listing == CM_LAPSED && !steer->is_away &&
+	    now_ms >= steer->returned_ms + steer->config.lapse_ms)
+		return false;
+	return !cm_steer_domain_out(steer, server->entry.domain);
+}
+
+int cm_steer_set_plan(struct cm_steer *steer, struct cm_steer_plan *plan)
+{
+	struct cm_steer_plan old;
+	int error = CM_E_STALE;
+
+	pthread_mutex_lock(&steer->lock);
+	if (plan->version > steer->plan.version) {
+		old = steer->plan;
+		steer->plan = *plan;
+		*plan = old;
+		error = CM_OK;
+	}
+	pthread_mutex_unlock(&steer->lock);
+	cm_steer_plan_finish(plan);
+	return error;
+}
+
+int cm_steer_put_server(struct cm_steer *steer, uint64_t now_ms,
+			const struct cm_server_entry *entry)
+{
+	int error;
+
+	pthread_mutex_lock(&steer->lock);
+	error = cm_steer_servers_put(&steer->servers, entry, now_ms, NULL);
+	pthread_mutex_unlock(&steer->lock);
+	return error;
+}
+
+/* Entries that go just after an outage may have run out during it. */
+static bool may_have_lapsed(const struct cm_steer *steer, uint64_t now_ms)
+{
+	return steer->is_away ||
+	       (steer->returned_ms &&
+		now_ms < steer->returned_ms + steer->config.lapse_ms);
+}
+
+static void server_gone(struct cm_steer *steer, struct cm_steer_server *server,
+			uint64_t now_ms)
+{
+	bool lapsed = server->listing != CM_LEFT &&
+		      !server->entry.is_draining &&
+		      may_have_lapsed(steer, now_ms);
+
+	cm_steer_server_set_listing(server, lapsed ? CM_LAPSED : CM_LEFT,
+				    now_ms);
+}
+
+void cm_steer_remove_server(struct cm_steer *steer, uint64_t now_ms,
+			    uint64_t id)
+{
+	struct cm_steer_server *server;
+
+	pthread_mutex_lock(&steer->lock);
+	server = cm_steer_servers_by_id(&steer->servers, id);
+	if (server)
+		server_gone(steer, server, now_ms);
+	pthread_mutex_unlock(&steer->lock);
+}
+
+static void remove_domain_out(struct cm_steer *steer, struct cm_domain_out *out)
+{
+	*out = steer->out[--steer->out_count];
+}
+
+static int add_domain_out(struct cm_steer *steer, uint64_t now_ms,
+			  const char *domain)
+{
+	struct cm_domain_out *out;
+
+	if (steer->out_count == CM_STEER_DOMAINS_OUT_MAX ||
+	    strlen(domain) >= CM_NAME_SIZE)
+		return CM_E_TOO_LARGE;
+	out = &steer->out[steer->out_count++];
+	memcpy(out->name, domain, strlen(domain) + 1);
+	out->since_ms = now_ms;
+	out->is_seen = true;
+	return CM_OK;
+}
+
+int cm_steer_set_domain_out(struct cm_steer *steer, uint64_t now_ms,
+			    const char *domain, bool is_out)
+{
+	struct cm_domain_out *out;
+	int error = CM_OK;
+
+	pthread_mutex_lock(&steer->lock);
+	out = cm_steer_domain_out(steer, domain);
+	if (out)
+		out->is_seen = true;
+	if (out && !is_out)
+		remove_domain_out(steer, out);
+	if (!out && is_out)
+		error = add_domain_out(steer, now_ms, domain);
+	pthread_mutex_unlock(&steer->lock);
+	return error;
+}
+
+void cm_steer_heard(struct cm_steer *steer, uint64_t now_ms)
+{
+	pthread_mutex_lock(&steer->lock);
+	if (steer->is_away)
+		steer->returned_ms = now_ms;
+	steer->is_away = false;
+	steer->heard_ms = now_ms;
+	pthread_mutex_unlock(&steer->lock);
+}
+
+void cm_steer_lost(struct cm_steer *steer)
+{
+	pthread_mutex_lock(&steer->lock);
+	steer->is_away = true;
+	pthread_mutex_unlock(&steer->lock);
+}
+
+void cm_steer_snapshot_begin(struct cm_steer *steer)
+{
+	struct cm_steer_server *server;
+
+	pthread_mutex_lock(&steer->lock);
+	TAILQ_FOREACH (server, &steer->servers.all, link)
+		server->is_seen = false;
+	for (uint32_t i = 0; i < steer->out_count; i++)
+		steer->out[i].is_seen = false;
+	pthread_mutex_unlock(&steer->lock);
+}
+
+void cm_steer_snapshot_end(struct cm_steer *steer, uint64_t now_ms)
+{
+	struct cm_steer_server *server;
+
+	pthread_mutex_lock(&steer->lock);
+	TAILQ_FOREACH (server, &steer->servers.all, link)
+		if (!server->is_seen && server->listing != CM_LEFT)
+			server_gone(steer, server, now_ms);
+	for (uint32_t i = steer->out_count; i > 0; i--)
+		if (!steer->out[i - 1].is_seen)
+			remove_domain_out(steer, &steer->out[i - 1]);
+	pthread_mutex_unlock(&steer->lock);
+}
--- /dev/null
+++ b/src/core/steer_server.c
@@ -0,0 +1,171 @@
+#include "chervilmast/steer_server.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "chervilmast/error.h"
+
+/* The buckets of ids and tokens: their low bits are spread already. */
+static struct cm_steer_server_bucket *
+id_bucket(const struct cm_steer_servers *servers, uint64_t id)
+{
+	uint64_t hash = cm_hash_mix(id, 0);
+
+	return (struct cm_steer_server_bucket *)&servers
+		->by_id[hash % CM_STEER_SERVER_BUCKETS];
+}
+
+static struct cm_steer_server_bucket *
+token_bucket(const struct cm_steer_servers *servers, uint32_t token)
+{
+	return (struct cm_steer_server_bucket *)&servers
+		->by_token[token % CM_STEER_SERVER_BUCKETS];
+}
+
+uint32_t cm_steer_token(uint64_t id, uint64_t born_ms)
+{
+	uint32_t token = (uint32_t)cm_hash_mix(id, born_ms);
+
+	return token ? token : 1;
+}
+
+void cm_steer_servers_init(struct cm_steer_servers *servers)
+{
+	memset(servers, 0, sizeof(*servers));
+	TAILQ_INIT(&servers->all);
+}
+
+static void server_free(struct cm_steer_servers *servers,
+			struct cm_steer_server *server)
+{
+	LIST_REMOVE(server, by_token);
+	LIST_REMOVE(server, by_id);
+	TAILQ_REMOVE(&servers->all, server, link);
+	servers->count--;
+	free(server);
+}
+
+void cm_steer_servers_finish(struct cm_steer_servers *servers)
+{
+	while (!TAILQ_EMPTY(&servers->all))
+		server_free(servers, TAILQ_FIRST(&servers->all));
+}
+
+struct cm_steer_server *
+cm_steer_servers_by_id(const struct cm_steer_servers *servers, uint64_t id)
+{
+	struct cm_steer_server *server;
+
+	LIST_FOREACH(server, id_bucket(servers, id), by_id)
+	if (server->entry.id == id)
+		return server;
+	return NULL;
+}
+
+struct cm_steer_server *
+cm_steer_servers_by_token(const struct cm_steer_servers *servers,
+			  uint32_t token)
+{
+	struct cm_steer_server *server;
+
+	LIST_FOREACH(server, token_bucket(servers, token), by_token)
+	if (server->token == token)
+		return server;
+	return NULL;
+}
+
+static bool started_before(const struct cm_steer_server *a,
+			   const struct cm_steer_server *b)
+{
+	if (a->entry.born_ms != b->entry.born_ms)
+		return a->entry.born_ms < b->entry.born_ms;
+	return a->entry.id < b->entry.id;
+}
+
+/* Keeps the servers of one token in the order of their start. */
+static void link_token(struct cm_steer_servers *servers,
+		       struct cm_steer_server *server)
+{
+	struct cm_steer_server_bucket *bucket =
+		token_bucket(servers, server->token);
+	struct cm_steer_server *other;
+
+	LIST_FOREACH(other, bucket, by_token)
+	{
+		if (started_before(server, other)) {
+			LIST_INSERT_BEFORE(other, server, by_token);
+			return;
+		}
+		if (!LIST_NEXT(other, by_token)) {
+			LIST_INSERT_AFTER(other, server, by_token);
+			return;
+		}
+	}
+	LIST_INSERT_HEAD(bucket, server, by_token);
+}
+
+/* The latest start under an id comes first in its bucket. */
+static struct cm_steer_server *server_add(struct cm_steer_servers *servers,
+					  const struct cm_server_entry *entry)
+{
+	struct cm_steer_server *server = calloc(1, sizeof(*server));
+
+	if (!server)
+		return NULL;
+	server->entry = *entry;
+	server->token = cm_steer_token(entry->id, entry->born_ms);
+	link_token(servers, server);
+	LIST_INSERT_HEAD(id_bucket(servers, entry->id), server, by_id);
+	TAILQ_INSERT_TAIL(&servers->all, server, link);
+	servers->count++;
+	return server;
+}
+
+int cm_steer_servers_put(struct cm_steer_servers *servers,
+			 const struct cm_server_entry *entry, uint64_t now_ms,
+			 struct cm_steer_server **server)
+{
+	struct cm_steer_server *known =
+		cm_steer_servers_by_id(servers, entry->id);
+	struct cm_steer_server *latest = known;
+
+	if (known && entry->born_ms < known->entry.born_ms)
+		return CM_E_STALE;
+	if (!known || entry->born_ms > known->entry.born_ms)
+		latest = server_add(servers, entry);
+	if (!latest)
+		return CM_E_MEMORY;
+	if (known && known != latest)
+		cm_steer_server_set_listing(known, CM_LEFT, now_ms);
+	latest->entry = *entry;
+	latest->cold_until_ms = now_ms + entry->cold_left_ms;
+	latest->is_seen = true;
+	cm_steer_server_set_listing(latest, CM_LISTED, now_ms);
+	if (server)
+		*server = latest;
+	return CM_OK;
+}
+
+void cm_steer_server_set_listing(struct cm_steer_server *server,
+				 enum cm_listing listing, uint64_t now_ms)
+{
+	if (server->listing == listing && server->listing_ms)
+		return;
+	server->listing = listing;
+	server->listing_ms = now_ms;
+}
+
+void cm_steer_servers_sweep(struct cm_steer_servers *servers,
+			    uint64_t before_ms)
+{
+	struct cm_steer_server *server = TAILQ_FIRST(&servers->all);
+
+	while (server) {
+		struct cm_steer_server *next = TAILQ_NEXT(server, link);
+
+		if (server->listing == CM_LEFT &&
+		    server->listing_ms < before_ms)
+			server_free(servers, server);
+		server = next;
+	}
+}
--- a/src/daemon/admin.h
+++ b/src/daemon/admin.h
@@ -8,6 +8,7 @@
 #ifndef DAEMON_ADMIN_H
 #define DAEMON_ADMIN_H
 
+#include "adapters/http_server.h"
 #include "chervilmast/node.h"
 #include "config/settings.h"
 
@@ -16,13 +17,13 @@
  * @node: the node that is shown
  * @settings: settings of the process
  * @started_ms: when it started
- * @server: handle of the HTTP library
+ * @server: serves its pages
  */
 struct cm_admin {
 	struct cm_node *node;
 	const struct cm_settings *settings;
 	uint64_t started_ms;
-	void *server;
+	struct cm_http_server server;
 };
 
 /**
--- a/src/daemon/admin_page.c
+++ b/src/daemon/admin_page.c
@@ -7,44 +7,33 @@
 #include <string.h>
 
 #include "adapters/socket.h"
+#include "admin.h"
 #include "config/note_json.h"
 #include "gauge.h"
+#include "metrics_text.h"
 #include "ports/clock.h"
 
 #define MS_PER_S 1000
-#define NAME_PREFIX "chervilmast_"
-#define COUNTER_SUFFIX "_total"
 
-static void append_metric(GString *text, const char *name, const char *suffix,
-			  const char *type, const char *help, uint64_t value)
-{
-	g_string_append_printf(text,
-			       "# HELP " NAME_PREFIX "%s%s %s\n"
-			       "# TYPE " NAME_PREFIX "%s%s %s\n" NAME_PREFIX
-			       "%s%s %llu\n",
-			       name, suffix, help, name, suffix, type, name,
-			       suffix, (unsigned long long)value);
-}
-
-static char *render_metrics(const struct cm_admin *admin, unsigned int *status)
+static char *render_metrics(const void *user, unsigned int *status)
 {
+	const struct cm_admin *admin = user;
 	GString *text = g_string_new(NULL);
 	struct cm_gauges gauges;
 
 	(void)status;
-	for (int i = 0; i < CM_COUNTER_COUNT; i++)
-		append_metric(text, cm_counter_name(i), COUNTER_SUFFIX,
-			      "counter", cm_counter_help(i),
-			      cm_counters_get(&admin->node->counters, i));
+	cm_metrics_append_counters(text, &admin->node->counters);
 	cm_gauges_read(&gauges, admin->node, cm_clock_ms() - admin->started_ms);
 	for (int i = 0; i < CM_GAUGE_COUNT; i++)
-		append_metric(text, cm_gauge_name(i), "", "gauge",
-			      cm_gauge_help(i), gauges.value[i]);
+		cm_metrics_append_gauge(text, cm_gauge_name(i),
+					cm_gauge_help(i), gauges.value[i]);
 	return g_string_free(text, FALSE);
 }
 
-static char *render_health(const struct cm_admin *admin, unsigned int *status)
+static char *render_health(const void *user, unsigned int *status)
 {
+	const struct cm_admin *admin = user;
+
 	if (cm_node_version(admin->node))
 		return strdup("ok\n");
 	*status = MHD_HTTP_SERVICE_UNAVAILABLE;
@@ -126,8 +115,9 @@
 	return list;
 }
 
-static char *render_status(const struct cm_admin *admin, unsigned int *status)
+static char *render_status(const void *user, unsigned int *status)
 {
+	const struct cm_admin *admin = user;
 	char id[CM_PUBLICATION_TEXT_SIZE];
 	struct cm_node_status node;
 	json_t *root;
@@ -150,18 +140,9 @@
 	return text;
 }
 
-static const struct cm_admin_page pages[] = {
-	{ "/metrics", "text/plain; version=0.0.4; charset=utf-8",
-	  render_metrics },
+const struct cm_http_page cm_admin_pages[] = {
+	{ "/metrics", CM_METRICS_TYPE, render_metrics },
 	{ "/healthz", "text/plain", render_health },
 	{ "/status", "application/json", render_status },
 	{ NULL, NULL, NULL },
 };
-
-const struct cm_admin_page *cm_admin_page_find(const char *path)
-{
-	for (const struct cm_admin_page *page = pages; page->path; page++)
-		if (!strcmp(page->path, path))
-			return page;
-	return NULL;
-}
--- a/src/daemon/admin_page.h
+++ b/src/daemon/admin_page.h
@@ -4,27 +4,9 @@
 #ifndef DAEMON_ADMIN_PAGE_H
 #define DAEMON_ADMIN_PAGE_H
 
-#include "admin.h"
+#include "adapters/http_server.h"
 
-/**
- * struct cm_admin_page - a page of the admin port
- * @path: its path
- * @type: its media type
- * @render: makes its text, freed with free(), and sets the HTTP status;
- *          returns NULL without memory
- */
-struct cm_admin_page {
-	const char *path;
-	const char *type;
-	char *(*render)(const struct cm_admin *admin, unsigned int *status);
-};
-
-/**
- * cm_admin_page_find() - the page at a path
- * @path: the path
- *
- * Return: the page, or NULL if there is none.
- */
-const struct cm_admin_page *cm_admin_page_find(const char *path);
+/** The pages; their user is a struct cm_admin. */
+extern const struct cm_http_page cm_admin_pages[];
 
 #endif
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -15,8 +15,13 @@
 	  "after a pause, packets are handled again")                          \
 	X(CONTROL_UNAVAILABLE, ERROR, "control_unavailable",                   \
 	  "the control address can't be listened at; it is tried again")       \
+	X(DOMAIN, INFO, "domain", "a failure domain was taken out, or back")   \
 	X(DRAINED, INFO, "drained",                                            \
 	  "the draining of this instance is over; ended_by says why")          \
+	X(FLOW_PLACED, INFO, "flow_placed",                                    \
+	  "a SYN was sent to a backend server")                                \
+	X(FLOW_REFUSED, INFO, "flow_refused",                                  \
+	  "a packet was dropped or its flow reset; reason says why")           \
 	X(LEAVING, INFO, "leaving", "a graceful shutdown has begun")           \
 	X(MEMBER_ALIVE, INFO, "member_alive", "another instance takes part")   \
 	X(MEMBER_DEAD, WARNING, "member_dead",                                 \
@@ -35,6 +40,16 @@
 	  "a snapshot of all release notes is in force at this instance")      \
 	X(PAUSED, WARNING, "paused",                                           \
 	  "this instance got no time; it drops packets until it caught up")    \
+	X(PLAN, INFO, "plan", "a plan came from the registry")                 \
+	X(REGISTRY_BAD_ITEM, WARNING, "registry_bad_item",                     \
+	  "an item of the registry can't be used")                             \
+	X(RELOADED, INFO, "reloaded", "the settings were read anew")           \
+	X(RELOAD_REFUSED, ERROR, "reload_refused",                             \
+	  "the new settings can't be used; the old ones stay")                 \
+	X(SERVER_ENTRY, INFO, "server_entry",                                  \
+	  "the registry's entry of a backend server came or changed")          \
+	X(SERVER_GONE, INFO, "server_gone",                                    \
+	  "the registry's entry of a backend server went")                     \
 	X(STARTED, INFO, "started", "the instance takes packets")              \
 	X(STOPPED, INFO, "stopped", "the graceful shutdown is over")           \
 	X(STORE_REACHABLE, INFO, "store_reachable", "the store answers again") \
--- /dev/null
+++ b/src/daemon/metrics_text.h
@@ -0,0 +1,34 @@
+/**
+ * DOC: Metrics as text
+ *
+ * Writes the text format that Prometheus reads.
+ */
+#ifndef DAEMON_METRICS_TEXT_H
+#define DAEMON_METRICS_TEXT_H
+
+#include <glib.h>
+
+#include "chervilmast/counter.h"
+
+/** Media type of the text. */
+#define CM_METRICS_TYPE "text/plain; version=0.0.4; charset=utf-8"
+
+/**
+ * cm_metrics_append_counters() - append every counter
+ * @text: appended to
+ * @counters: the counters
+ */
+void cm_metrics_append_counters(GString *text,
+				const struct cm_counters *counters);
+
+/**
+ * cm_metrics_append_gauge() - append a gauge
+ * @text: appended to
+ * @name: its name
+ * @help: what it shows
+ * @value: its value
+ */
+void cm_metrics_append_gauge(GString *text, const char *name, const char *help,
+			     uint64_t value);
+
+#endif
--- /dev/null
+++ b/src/daemon/registry_loop.c
@@ -0,0 +1,173 @@
+#include "registry_loop.h"
+
+#include <ck_pr.h>
+#include <string.h>
+
+#include "adapters/socket.h"
+#include "chervilmast/error.h"
+#include "log.h"
+#include "ports/clock.h"
+
+/** Pause between answers, so that several events come in one, ms. */
+#define PAUSE_MS 200
+/** Pause after a call that failed, ms. */
+#define RETRY_MS 150
+
+static void told_begin(void *user)
+{
+	struct cm_registry_loop *loop = user;
+
+	cm_steer_snapshot_begin(loop->steer);
+}
+
+static void told_end(void *user)
+{
+	struct cm_registry_loop *loop = user;
+
+	cm_steer_snapshot_end(loop->steer, cm_clock_ms());
+}
+
+static void told_server(void *user, const struct cm_server_entry *entry)
+{
+	struct cm_registry_loop *loop = user;
+	int error = cm_steer_put_server(loop->steer, cm_clock_ms(), entry);
+	char address[CM_ENDPOINT_TEXT_SIZE];
+
+	cm_log(CM_EVENT_SERVER_ENTRY,
+	       "server=%llx service=%s failure_domain=%s at=%s draining=%d "
+	       "cold_left_ms=%u outcome=%s",
+	       (unsigned long long)entry->id, entry->service, entry->domain,
+	       cm_endpoint_write(&entry->address, address), entry->is_draining,
+	       entry->cold_left_ms, cm_error_name(error));
+}
+
+static void told_server_gone(void *user, uint64_t id)
+{
+	struct cm_registry_loop *loop = user;
+
+	cm_steer_remove_server(loop->steer, cm_clock_ms(), id);
+	cm_log(CM_EVENT_SERVER_GONE, "server=%llx", (unsigned long long)id);
+}
+
+static void told_plan(void *user, struct cm_steer_plan *plan)
+{
+	struct cm_registry_loop *loop = user;
+	uint64_t version = plan->version;
+	size_t routes = plan->route_count;
+	int error = cm_steer_set_plan(loop->steer, plan);
+
+	cm_log(CM_EVENT_PLAN, "version=%llu routes=%zu outcome=%s",
+	       (unsigned long long)version, routes, cm_error_name(error));
+}
+
+static void told_domain_out(void *user, const char *domain, bool is_out)
+{
+	struct cm_registry_loop *loop = user;
+	int error = cm_steer_set_domain_out(loop->steer, cm_clock_ms(), domain,
+					    is_out);
+
+	cm_log(CM_EVENT_DOMAIN, "failure_domain=%s out=%d outcome=%s", domain,
+	       is_out, cm_error_name(error));
+}
+
+static void told_bad_item(void *user, const char *key, int error)
+{
+	struct cm_registry_loop *loop = user;
+
+	cm_counters_add(&loop->steer->counters, CM_C_REGISTRY_BAD_ITEM);
+	cm_log(CM_EVENT_REGISTRY_BAD_ITEM, "key=%s error=%s", key,
+	       cm_error_name(error));
+}
+
+static void note_answer(struct cm_registry_loop *loop, uint64_t asked_ms,
+			int error)
+{
+	bool reachable = !error || error == CM_E_COMPACTED;
+
+	if (!error)
+		cm_steer_heard(loop->steer, asked_ms);
+	if (!reachable)
+		cm_steer_lost(loop->steer);
+	if (reachable == loop->is_reachable)
+		return;
+	loop->is_reachable = reachable;
+	cm_log(reachable ? CM_EVENT_STORE_REACHABLE :
+			   CM_EVENT_STORE_UNREACHABLE,
+	       "error=%s", cm_error_name(error));
+}
+
+static void count_calls(struct cm_registry_loop *loop)
+{
+	uint64_t calls = loop->registry->ops->calls(loop->registry);
+
+	cm_counters_add_many(&loop->steer->counters, CM_C_STORE_CALLS,
+			     calls - loop->counted);
+	loop->counted = calls;
+}
+
+static int call(struct cm_registry_loop *loop)
+{
+	const struct cm_registry_sink sink = {
+		.begin = told_begin,
+		.end = told_end,
+		.server = told_server,
+		.server_gone = told_server_gone,
+		.plan = told_plan,
+		.domain_out = told_domain_out,
+		.bad_item = told_bad_item,
+		.user = loop,
+	};
+	const struct cm_registry_ops *ops = loop->registry->ops;
+	int error;
+
+	if (loop->is_read)
+		return ops->wait(loop->registry, loop->wait_ms, &sink);
+	error = ops->read(loop->registry, &sink);
+	loop->is_read = !error;
+	cm_counters_add(&loop->steer->counters, CM_C_REGISTRY_SNAPSHOTS);
+	return error;
+}
+
+static void take_step(struct cm_registry_loop *loop)
+{
+	uint64_t asked_ms = cm_clock_ms();
+	int error = call(loop);
+
+	if (error == CM_E_COMPACTED)
+		loop->is_read = false;
+	note_answer(loop, asked_ms, error);
+	count_calls(loop);
+	if (error && error != CM_E_COMPACTED)
+		cm_counters_add(&loop->steer->counters, CM_C_STORE_RETRIES);
+	if (!ck_pr_load_32(&loop->stopping))
+		cm_clock_sleep_ms(error ? RETRY_MS : PAUSE_MS);
+}
+
+static void *registry_thread(void *user)
+{
+	struct cm_registry_loop *loop = user;
+
+	while (!ck_pr_load_32(&loop->stopping))
+		take_step(loop);
+	return NULL;
+}
+
+int cm_registry_loop_init(struct cm_registry_loop *loop, struct cm_steer *steer,
+			  struct cm_registry *registry, uint32_t wait_ms)
+{
+	memset(loop, 0, sizeof(*loop));
+	loop->steer = steer;
+	loop->registry = registry;
+	loop->wait_ms = wait_ms;
+	loop->is_reachable = true;
+	if (pthread_create(&loop->thread, NULL, registry_thread, loop))
+		return CM_E_MEMORY;
+	return CM_OK;
+}
+
+void cm_registry_loop_finish(struct cm_registry_loop *loop)
+{
+	ck_pr_store_32(&loop->stopping, 1);
+	loop->registry->ops->interrupt(loop->registry);
+	pthread_join(loop->thread, NULL);
+}
--- /dev/null
+++ b/src/daemon/registry_loop.h
@@ -0,0 +1,56 @@
+/**
+ * DOC: Registry loop of an instance that steers by token
+ *
+ * A thread that reads the registry once and then waits for its changes, and
+ * gives all of it to the node. Each wait is short, so that a connection that
+ * fell silent is noticed before what the node knows is too old.
+ */
+#ifndef DAEMON_REGISTRY_LOOP_H
+#define DAEMON_REGISTRY_LOOP_H
+
+#include <pthread.h>
+
+#include "chervilmast/steer.h"
+#include "ports/registry.h"
+
+/**
+ * struct cm_registry_loop - a registry loop
+ * @steer: the node
+ * @registry: the registry
+ * @wait_ms: longest wait for changes in one call
+ * @is_read: all of the registry was read once
+ * @is_reachable: the last call was answered
+ * @counted: calls that were counted so far
+ * @stopping: set to stop the thread
+ * @thread: the thread
+ */
+struct cm_registry_loop {
+	struct cm_steer *steer;
+	struct cm_registry *registry;
+	uint32_t wait_ms;
+	bool is_read;
+	bool is_reachable;
+	uint64_t counted;
+	uint32_t stopping;
+	pthread_t thread;
+};
+
+/**
+ * cm_registry_loop_init() - start the thread
+ * @loop: memory of the caller
+ * @steer: the node
+ * @registry: the registry; used by the thread alone from now on
+ * @wait_ms: longest wait for changes in one call
+ *
+ * Return: 0 or CM_E_MEMORY.
+ */
+int cm_registry_loop_init(struct cm_registry_loop *loop, struct cm_steer *steer,
+			  struct cm_registry *registry, uint32_t wait_ms);
+
+/**
+ * cm_registry_loop_finish() - stop the thread
+ * @loop: the loop; its memory stays the caller's
+ */
+void cm_registry_loop_finish(struct cm_registry_loop *loop);
+
+#endif
--- /dev/null
+++ b/src/daemon/steer_entry.c
@@ -0,0 +1,259 @@
+#include "steer_entry.h"
+
+#include <signal.h>
+#include <string.h>
+
+#include "adapters/http_server.h"
+#include "adapters/socket.h"
+#include "chervilmast/error.h"
+#include "log.h"
+#include "platform/packet_head.h"
+#include "platform/registry.h"
+#include "ports/clock.h"
+#include "registry_loop.h"
+#include "steer_loop.h"
+#include "steer_page.h"
+
+#define MS_PER_S 1000
+/** A wait for changes takes this part of the shortest bound. */
+#define WAIT_PART 2
+/** Part of a bound that is left for packets on their way, ms. */
+#define DOMAIN_OUT_MARGIN_MS 500
+/** Graceful shutdown: time in which the fabric notices it, ms. */
+#define STOP_LEAST_MS 1500
+/** Graceful shutdown: time without packets after which nothing is left, ms. */
+#define STOP_IDLE_MS 1000
+/** Graceful shutdown: time to be gone before it is too late, ms. */
+#define STOP_MARGIN_MS 700
+
+/**
+ * struct steer_entry - an instance
+ * @settings: settings of the process
+ * @path: their file
+ * @steer: its core
+ * @loop: its packets
+ * @registry: where it hears of servers and plans
+ * @feed: its registry thread
+ * @ready: says whether it is ready
+ * @metrics: serves metrics
+ */
+struct steer_entry {
+	struct cm_steer_settings settings;
+	const char *path;
+	struct cm_steer steer;
+	struct cm_steer_loop loop;
+	struct platform_registry registry;
+	struct cm_registry_loop feed;
+	struct cm_http_server ready;
+	struct cm_http_server metrics;
+};
+
+static volatile sig_atomic_t stop_asked;
+static volatile sig_atomic_t reload_asked;
+
+static void on_signal(int signal)
+{
+	if (signal == SIGHUP)
+		reload_asked = 1;
+	else
+		stop_asked = 1;
+}
+
+static void catch_signals(sigset_t *while_waiting)
+{
+	static const int caught[] = { SIGTERM, SIGINT, SIGHUP };
+	struct sigaction action = { .sa_handler = on_signal };
+	sigset_t blocked;
+
+	sigemptyset(&blocked);
+	for (size_t i = 0; i < sizeof(caught) / sizeof(*caught); i++) {
+		sigaddset(&blocked, caught[i]);
+		sigaction(caught[i], &action, NULL);
+	}
+	pthread_sigmask(SIG_BLOCK, &blocked, while_waiting);
+	for (size_t i = 0; i < sizeof(caught) / sizeof(*caught); i++)
+		sigdelset(while_waiting, caught[i]);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+static uint32_t shortest_bound_ms(const struct cm_steer_settings *settings)
+{
+	uint32_t bound_ms = settings->server_leave_ms;
+
+	if (settings->plan_ms < bound_ms)
+		bound_ms = settings->plan_ms;
+	if (settings->domain_out_ms < bound_ms)
+		bound_ms = settings->domain_out_ms;
+	return bound_ms;
+}
+
+static struct cm_steer_config
+steer_config(const struct cm_steer_settings *settings)
+{
+	struct cm_steer_config config = {
+		.flows_max = settings->flows_max,
+		.flow_life_ms = settings->flow_life_s * MS_PER_S,
+		.domain_out_ms =
+			settings->domain_out_ms > DOMAIN_OUT_MARGIN_MS ?
+				settings->domain_out_ms - DOMAIN_OUT_MARGIN_MS :
+				0,
+		.fresh_ms = settings->plan_ms,
+		.lapse_ms = settings->lapse_ms,
+	};
+
+	memcpy(config.domain, settings->domain, sizeof(config.domain));
+	return config;
+}
+
+static int start_pages(struct steer_entry *entry)
+{
+	int error = cm_http_server_init(&entry->ready, &entry->settings.ready,
+					cm_steer_ready_pages, &entry->steer);
+
+	if (error)
+		return error;
+	error = cm_http_server_init(&entry->metrics, &entry->settings.metrics,
+				    cm_steer_metrics_pages, &entry->steer);
+	if (error)
+		cm_http_server_finish(&entry->ready);
+	return error;
+}
+
+static int start_feed(struct steer_entry *entry)
+{
+	uint32_t wait_ms = shortest_bound_ms(&entry->settings) / WAIT_PART;
+	int error = cm_registry_loop_init(&entry->feed, &entry->steer,
+					  &entry->registry.base, wait_ms);
+
+	if (error)
+		return error;
+	error = start_pages(entry);
+	if (error)
+		cm_registry_loop_finish(&entry->feed);
+	return error;
+}
+
+static int start_registry(struct steer_entry *entry)
+{
+	struct cm_registry *registry = &entry->registry.base;
+	int error = platform_registry_init(&entry->registry,
+					   entry->settings.store_url,
+					   entry->settings.store_timeout_ms);
+
+	if (error)
+		return error;
+	error = start_feed(entry);
+	if (error)
+		registry->ops->finish(registry);
+	return error;
+}
+
+static int start(struct steer_entry *entry)
+{
+	struct cm_steer_config config = steer_config(&entry->settings);
+	int error;
+
+	cm_steer_init(&entry->steer, &config);
+	error = cm_steer_loop_init(&entry->loop, &entry->steer,
+				   &platform_fabric, &entry->settings.packets);
+	if (!error) {
+		error = start_registry(entry);
+		if (error)
+			cm_steer_loop_finish(&entry->loop);
+	}
+	if (error)
+		cm_steer_finish(&entry->steer);
+	return error;
+}
+
+static void stop(struct steer_entry *entry)
+{
+	struct cm_registry *registry = &entry->registry.base;
+
+	cm_http_server_finish(&entry->metrics);
+	cm_http_server_finish(&entry->ready);
+	cm_registry_loop_finish(&entry->feed);
+	registry->ops->finish(registry);
+	cm_steer_loop_finish(&entry->loop);
+	cm_steer_finish(&entry->steer);
+}
+
+/* Only what is logged can change while the process runs. */
+static void reload(struct steer_entry *entry)
+{
+	struct cm_steer_settings settings;
+	struct cm_json_error error;
+
+	reload_asked = 0;
+	if (cm_steer_settings_read_file(&settings, entry->path, &error)) {
+		cm_log(CM_EVENT_RELOAD_REFUSED, "path=%s error=%s", error.path,
+		       cm_error_name(error.error));
+		return;
+	}
+	cm_log_init(settings.log_level);
+	cm_log(CM_EVENT_RELOADED, "name=%s", settings.name);
+}
+
+static int run_until_signal(struct steer_entry *entry, const sigset_t *signals)
+{
+	int error = CM_OK;
+
+	while (!error && !stop_asked) {
+		error = cm_steer_loop_step(&entry->loop, signals);
+		if (reload_asked)
+			reload(entry);
+	}
+	return error;
+}
+
+static bool is_drained(struct steer_entry *entry, uint64_t begin_ms)
+{
+	uint64_t now_ms = cm_clock_ms();
+	uint64_t passed_ms = now_ms - begin_ms;
+	uint64_t most_ms = (uint64_t)entry->settings.stop_timeout_s * MS_PER_S;
+
+	if (passed_ms + STOP_MARGIN_MS >= most_ms)
+		return true;
+	return passed_ms >= STOP_LEAST_MS &&
+	       cm_steer_idle_ms(&entry->steer, now_ms) >= STOP_IDLE_MS;
+}
+
+/* Goes on sending packets until the fabric gives no more of them. */
+static void leave(struct steer_entry *entry, const sigset_t *signals)
+{
+	uint64_t begin_ms = cm_clock_ms();
+
+	cm_log(CM_EVENT_LEAVING, "name=%s drain_timeout_s=%u",
+	       entry->settings.name, entry->settings.stop_timeout_s);
+	cm_steer_leave(&entry->steer);
+	while (!is_drained(entry, begin_ms))
+		if (cm_steer_loop_step(&entry->loop, signals))
+			break;
+	cm_log(CM_EVENT_DRAINED, "name=%s after_ms=%llu", entry->settings.name,
+	       (unsigned long long)(cm_clock_ms() - begin_ms));
+}
+
+int cm_steer_entry_run(const struct cm_steer_settings *settings,
+		       const char *path)
+{
+	static struct steer_entry entry;
+	char address[CM_ENDPOINT_TEXT_SIZE];
+	sigset_t signals;
+	int error;
+
+	entry.settings = *settings;
+	entry.path = path;
+	catch_signals(&signals);
+	error = start(&entry);
+	if (error)
+		return error;
+	cm_log(CM_EVENT_STARTED, "name=%s failure_domain=%s data=%s",
+	       settings->name, settings->domain,
+	       cm_endpoint_write(&settings->packets, address));
+	error = run_until_signal(&entry, &signals);
+	if (!error)
+		leave(&entry, &signals);
+	stop(&entry);
+	cm_log(CM_EVENT_STOPPED, "name=%s", settings->name);
+	return error;
+}
--- /dev/null
+++ b/src/daemon/steer_loop.c
@@ -0,0 +1,121 @@
+#include "steer_loop.h"
+
+#include "adapters/socket.h"
+#include "chervilmast/error.h"
+#include "log.h"
+#include "ports/clock.h"
+
+/** Time between ticks, ms. */
+#define TICK_MS 25
+
+int cm_steer_loop_init(struct cm_steer_loop *loop, struct cm_steer *steer,
+		       const struct cm_fabric_ops *fabric,
+		       const struct cm_endpoint *address)
+{
+	loop->steer = steer;
+	loop->fabric = fabric;
+	loop->caller_port = address->port;
+	loop->ticked_ms = cm_clock_ms();
+	return cm_udp_batch_init(&loop->batch, address);
+}
+
+void cm_steer_loop_finish(struct cm_steer_loop *loop)
+{
+	cm_udp_batch_finish(&loop->batch);
+}
+
+static void forward(struct cm_steer_loop *loop, struct cm_datagram *datagram,
+		    const struct cm_steer_verdict *verdict)
+{
+	size_t prefix = loop->fabric->prefix_size;
+	uint8_t *start = datagram->bytes - prefix;
+
+	loop->fabric->set_token(datagram->bytes, verdict->token);
+	loop->fabric->write_prefix(start, verdict->server_id);
+	cm_udp_batch_add(&loop->batch, start, datagram->length + prefix,
+			 &verdict->server);
+}
+
+static void reset(struct cm_steer_loop *loop,
+		  const struct cm_datagram *datagram,
+		  const struct cm_steer_packet *packet)
+{
+	uint8_t *bytes = loop->resets[loop->batch.out_count];
+	size_t length = loop->fabric->write_reset(datagram->bytes, bytes);
+	struct cm_endpoint to = packet->key.caller;
+
+	to.port = loop->caller_port;
+	cm_udp_batch_add(&loop->batch, bytes, length, &to);
+}
+
+static void log_verdict(const struct cm_steer_packet *packet,
+			const struct cm_steer_verdict *verdict)
+{
+	char caller[CM_ENDPOINT_TEXT_SIZE], service[CM_ENDPOINT_TEXT_SIZE];
+	char server[CM_ENDPOINT_TEXT_SIZE];
+
+	if (verdict->reason == CM_C_STEER_BY_TOKEN)
+		return;
+	cm_log(verdict->kind == CM_STEER_FORWARD ? CM_EVENT_FLOW_PLACED :
+						   CM_EVENT_FLOW_REFUSED,
+	       "caller=%s route=%s reason=%s service=%s server=%llx at=%s "
+	       "token=%08x repeats=%u plan=%llu registry_age_ms=%llu",
+	       cm_endpoint_write(&packet->key.caller, caller),
+	       cm_endpoint_write(&packet->key.service, service),
+	       cm_counter_name(verdict->reason), verdict->service,
+	       (unsigned long long)verdict->server_id,
+	       cm_endpoint_write(&verdict->server, server),
+	       verdict->token ? verdict->token : packet->token, packet->repeats,
+	       (unsigned long long)verdict->plan_version,
+	       (unsigned long long)verdict->plan_age_ms);
+}
+
+static void handle(struct cm_steer_loop *loop, uint64_t now_ms,
+		   struct cm_datagram *datagram)
+{
+	struct cm_steer_packet packet;
+	struct cm_steer_verdict verdict;
+	int error =
+		loop->fabric->read(datagram->bytes, datagram->length, &packet);
+
+	cm_counters_add(&loop->steer->counters, CM_C_PACKETS_FROM_FABRIC);
+	if (error) {
+		cm_counters_add(&loop->steer->counters,
+				error == CM_E_TRUNCATED ? CM_C_DROP_TRUNCATED :
+							  CM_C_DROP_MALFORMED);
+		return;
+	}
+	cm_steer_packet(loop->steer, now_ms, &packet, &verdict);
+	if (verdict.kind == CM_STEER_FORWARD)
+		forward(loop, datagram, &verdict);
+	else if (verdict.kind == CM_STEER_RESET)
+		reset(loop, datagram, &packet);
+	log_verdict(&packet, &verdict);
+}
+
+static void tick(struct cm_steer_loop *loop, uint64_t now_ms)
+{
+	if (now_ms < loop->ticked_ms + TICK_MS)
+		return;
+	cm_steer_tick(loop->steer, now_ms);
+	loop->ticked_ms = now_ms;
+}
+
+int cm_steer_loop_step(struct cm_steer_loop *loop, const sigset_t *signals)
+{
+	int error = cm_udp_batch_receive(&loop->batch, TICK_MS, signals);
+	uint64_t now_ms = cm_clock_ms();
+	size_t refused;
+
+	if (error)
+		return error;
+	for (size_t i = 0; i < loop->batch.count; i++)
+		handle(loop, now_ms, &loop->batch.came[i]);
+	refused = cm_udp_batch_send(&loop->batch);
+	if (refused)
+		cm_counters_add_many(&loop->steer->counters, CM_C_DROP_SEND,
+				     refused);
+	if (loop->batch.count < CM_UDP_BATCH)
+		tick(loop, now_ms);
+	return CM_OK;
+}
--- /dev/null
+++ b/src/daemon/steer_loop.h
@@ -0,0 +1,60 @@
+/**
+ * DOC: Packet loop of an instance that steers by token
+ *
+ * Takes packets in batches, lets the node decide, and sends them on. It runs in
+ * the thread that calls it until a signal comes.
+ */
+#ifndef DAEMON_STEER_LOOP_H
+#define DAEMON_STEER_LOOP_H
+
+#include "adapters/udp_batch.h"
+#include "chervilmast/steer.h"
+#include "ports/fabric.h"
+
+/**
+ * struct cm_steer_loop - a packet loop
+ * @steer: the node
+ * @fabric: format of packets
+ * @caller_port: port at which callers take packets
+ * @batch: the socket
+ * @resets: room for the resets of a batch
+ * @ticked_ms: when the node was last ticked
+ */
+struct cm_steer_loop {
+	struct cm_steer *steer;
+	const struct cm_fabric_ops *fabric;
+	uint16_t caller_port;
+	struct cm_udp_batch batch;
+	uint8_t resets[CM_UDP_BATCH][CM_FABRIC_RESET_MAX];
+	uint64_t ticked_ms;
+};
+
+/**
+ * cm_steer_loop_init() - bind the socket
+ * @loop: memory of the caller
+ * @steer: the node
+ * @fabric: format of packets
+ * @address: where packets come in
+ *
+ * Return: 0 or CM_E_IO.
+ */
+int cm_steer_loop_init(struct cm_steer_loop *loop, struct cm_steer *steer,
+		       const struct cm_fabric_ops *fabric,
+		       const struct cm_endpoint *address);
+
+/**
+ * cm_steer_loop_finish() - close the socket
+ * @loop: the loop; its memory stays the caller's
+ */
+void cm_steer_loop_finish(struct cm_steer_loop *loop);
+
+/**
+ * cm_steer_loop_step() - wait for packets and handle those that came
+ * @loop: the loop
+ * @signals: signals that are blocked during the wait
+ *
+ * Return: 0 or CM_E_IO.
+ */
+int cm_steer_loop_step(struct cm_steer_loop *loop, const sigset_t *signals);
+
+#endif
--- /dev/null
+++ b/src/daemon/steer_page.c
@@ -0,0 +1,40 @@
+#include "steer_page.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "chervilmast/steer.h"
+#include "metrics_text.h"
+#include "ports/clock.h"
+
+#define HTTP_UNAVAILABLE 503
+
+static char *render_ready(const void *user, unsigned int *status)
+{
+	struct cm_steer *steer = (struct cm_steer *)user;
+
+	if (cm_steer_is_ready(steer, cm_clock_ms()))
+		return strdup("ready\n");
+	*status = HTTP_UNAVAILABLE;
+	return strdup("not-ready\n");
+}
+
+static char *render_metrics(const void *user, unsigned int *status)
+{
+	struct cm_steer *steer = (struct cm_steer *)user;
+	GString *text = g_string_new(NULL);
+
+	(void)status;
+	cm_metrics_append_counters(text, &steer->counters);
+	return g_string_free(text, FALSE);
+}
+
+const struct cm_http_page cm_steer_ready_pages[] = {
+	{ "/-/ready", "text/plain", render_ready },
+	{ NULL, NULL, NULL },
+};
+
+const struct cm_http_page cm_steer_metrics_pages[] = {
+	{ "/metrics", CM_METRICS_TYPE, render_metrics },
+	{ NULL, NULL, NULL },
+};
--- /dev/null
+++ b/src/ports/registry.h
@@ -0,0 +1,66 @@
+/**
+ * DOC: Port to the registry
+ *
+ * Where the backend servers enter themselves and the operators their plans. An
+ * adapter fills the table of functions and embeds struct cm_registry.
+ */
+#ifndef PORTS_REGISTRY_H
+#define PORTS_REGISTRY_H
+
+#include "chervilmast/steer_plan.h"
+#include "chervilmast/steer_server.h"
+
+struct cm_registry;
+
+/**
+ * struct cm_registry_sink - what is told of the registry
+ * @begin: all that it holds follows
+ * @end: all that it held was told
+ * @server: entry of a backend server
+ * @server_gone: the entry with this id went
+ * @plan: a plan; its content is the sink's to finish
+ * @domain_out: a failure domain was taken out, or back
+ * @bad_item: the item at @key can't be used
+ * @user: for the functions
+ */
+struct cm_registry_sink {
+	void (*begin)(void *user);
+	void (*end)(void *user);
+	void (*server)(void *user, const struct cm_server_entry *entry);
+	void (*server_gone)(void *user, uint64_t id);
+	void (*plan)(void *user, struct cm_steer_plan *plan);
+	void (*domain_out)(void *user, const char *domain, bool is_out);
+	void (*bad_item)(void *user, const char *key, int error);
+	void *user;
+};
+
+/**
+ * struct cm_registry_ops - what an adapter does
+ * @read: tell all that the registry holds. Returns 0, CM_E_UNAVAILABLE,
+ *        CM_E_TIMEOUT, CM_E_PROTOCOL, CM_E_TOO_LARGE or CM_E_MEMORY.
+ * @wait: wait up to @wait_ms for changes since the last call and tell them.
+ *        Returns 0, also when there were none, CM_E_COMPACTED when all has to
+ *        be read anew, or an error of @read.
+ * @calls: requests sent so far
+ * @interrupt: end the call in progress and all later ones; from any thread
+ * @finish: end; the memory stays the caller's
+ */
+struct cm_registry_ops {
+	int (*read)(struct cm_registry *registry,
+		    const struct cm_registry_sink *sink);
+	int (*wait)(struct cm_registry *registry, uint32_t wait_ms,
+		    const struct cm_registry_sink *sink);
+	uint64_t (*calls)(const struct cm_registry *registry);
+	void (*interrupt)(struct cm_registry *registry);
+	void (*finish)(struct cm_registry *registry);
+};
+
+/**
+ * struct cm_registry - a registry
+ * @ops: what its adapter does
+ */
+struct cm_registry {
+	const struct cm_registry_ops *ops;
+};
+
+#endif
--- a/tests/unit/test_store_lease.c
+++ b/tests/unit/test_store_lease.c
@@ -26,7 +26,7 @@
 	CURL *curl = curl_easy_init();
 	long status = 0;
 
-	snprintf(url, sizeof(url), "%s/v3/%s", subject->etcd.url, path);
+	snprintf(url, sizeof(url), "%s/v3/%s", subject->etcd.http.url, path);
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_PROXY, "");
 	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
