Notice a cut by unanswered SYNs, hold packets for the first read, start sooner

Change: four SYNs without any answer make an instance not ready, and a TCP connection to a server tells when it is reachable again; packets wait in the socket for the first read, 400 ms at most; an instance that knows no plan says so with a reset; the HTTP client uses libevent in place of libcurl (https URLs of the store are refused now: the platform speaks HTTP, and TLS was most of the libraries), and the deployed binary has its other libraries linked in.

Ruled out: resetting SYNs during the cut.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,10 @@
 BUILD = build
 SANITIZE =
 
-PACKAGES = glib-2.0 jansson libmicrohttpd libcurl msgpack argtable2 libxxhash ck
+PACKAGES = glib-2.0 jansson libmicrohttpd libevent msgpack argtable2 libxxhash ck
 DEBIAN_PACKAGES = libck-dev libmsgpack-dev libargtable2-dev libglib2.0-dev \
 	check libjansson-dev libmicrohttpd-dev libcurl4-openssl-dev \
-	libxxhash-dev pkg-config curl
+	libxxhash-dev libevent-dev pkg-config curl
 
 CFLAGS = -O2 -g
 ALL_CFLAGS = -std=gnu11 -Wall -Wextra -Werror -Wstrict-prototypes \
@@ -14,7 +14,14 @@
 	-D_GNU_SOURCE -DCM_INVARIANTS -Iinclude -Isrc -Itests -I. \
 	$(shell pkg-config --cflags $(PACKAGES)) $(SANITIZE) $(CFLAGS)
 LIBS = $(shell pkg-config --libs $(PACKAGES)) -lm -pthread
-CHECK_LIBS = $(shell pkg-config --libs check)
+# STATIC=1 links what can be into the binary, so that a process starts sooner.
+STATIC_PACKAGES = glib-2.0 jansson libevent msgpack argtable2 libxxhash
+ifdef STATIC
+LIBS = -Wl,-Bstatic $(shell pkg-config --static --libs $(STATIC_PACKAGES)) \
+	-Wl,-Bdynamic $(shell pkg-config --libs libmicrohttpd ck) -lm -pthread
+endif
+# Libraries that only tests need.
+TEST_LIBS = $(shell pkg-config --libs check libcurl)
 
 CORE = $(wildcard src/core/*.c)
 SHELL_SRC = $(wildcard src/ports/*.c src/adapters/*.c src/config/*.c \
@@ -91,7 +98,7 @@
 $(BUILD)/unit: $(call object,$(UNIT) $(FAKE) $(SERVICE) $(SHELL_SRC)) \
 		$(BUILD)/libchervilmast.a
 	@echo "LD $@"
-	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(CHECK_LIBS) $(LIBS)
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(TEST_LIBS) $(LIBS)
 
 $(BUILD)/soak: $(call object,$(wildcard tests/soak/*.c) $(FAKE) \
 		$(SHELL_SRC)) \
--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -169,6 +169,10 @@
 	X(STEER_BY_TOKEN, "steer_by_token", "packets sent on by their token")  \
 	X(STEER_NO_ROUTE, "steer_no_route",                                    \
 	  "new flows reset as no route leads from their address")              \
+	X(STEER_NO_PLAN, "steer_no_plan",                                      \
+	  "new flows reset as the node knows no plan yet")                     \
+	X(STEER_CUT_OFF, "steer_cut_off",                                      \
+	  "times that no server answered and one was tried over TCP")          \
 	X(STEER_NO_SERVER, "steer_no_server",                                  \
 	  "new flows reset as no server may take them")                        \
 	X(STEER_STALE, "steer_stale",                                          \
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -134,6 +134,8 @@
  * @active_ms: clock that stands while the node is paused
  * @choices: choices so far
  * @last_flow_ms: when a packet was last sent on
+ * @silent_syns: SYNs in a row, to any server, that got no answer
+ * @silent_since_ms: when the first of them was sent on
  * @counters: counters
  */
 struct cm_steer {
@@ -152,6 +154,8 @@
 	uint64_t active_ms;
 	uint64_t choices;
 	uint64_t last_flow_ms;
+	uint32_t silent_syns;
+	uint64_t silent_since_ms;
 	struct cm_counters counters;
 };
 
@@ -275,6 +279,24 @@
  */
 bool cm_steer_is_ready(struct cm_steer *steer, uint64_t now_ms);
 
+/**
+ * cm_steer_unreached() - a server by which to find out whether any is reached
+ * @steer: the node
+ * @now_ms: current time
+ * @address: set to where the server listens
+ *
+ * Return: true when the node seems to be cut off from all servers and is to try
+ * this one.
+ */
+bool cm_steer_unreached(struct cm_steer *steer, uint64_t now_ms,
+			struct cm_endpoint *address);
+
+/**
+ * cm_steer_reached() - a server was reached, so the node is not cut off
+ * @steer: the node
+ */
+void cm_steer_reached(struct cm_steer *steer);
+
 /**
  * cm_steer_idle_ms() - time since a packet was last sent on
  * @steer: the node
--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -1,115 +1,212 @@
 #include "http_client.h"
 
 #include <ck_pr.h>
-#include <curl/curl.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include "chervilmast/error.h"
 
-#define URL_SIZE 512
+#define PATH_SIZE 1024
+#define HTTP_PORT 80
 /* Values hold up to a megabyte; an answer may hold several. */
 #define ANSWER_MAX (16 * 1024 * 1024)
-#define JSON_HEADER "Content-Type: application/json"
-#define NO_EXPECT_HEADER "Expect:"
+#define MS_PER_S 1000
+#define US_PER_MS 1000
 
 /**
  * struct transfer - a request in progress
  * @client: who sent it
  * @request: the request
  * @text: body of the answer as it comes in
- * @ended: the request's function ended it
+ * @status: HTTP status; 0 until there is one
+ * @error: what it came to
+ * @is_done: it is over
  */
 struct transfer {
 	struct cm_http_client *client;
 	const struct cm_http_request *request;
 	GString *text;
-	bool ended;
+	unsigned int status;
+	int error;
+	bool is_done;
 };
 
-static size_t take_bytes(char *bytes, size_t size, size_t count, void *user)
+static void transfer_end(struct transfer *transfer, int error)
+{
+	if (transfer->is_done)
+		return;
+	transfer->error = error;
+	transfer->is_done = true;
+	event_base_loopbreak(transfer->client->base);
+}
+
+static void transfer_take(struct transfer *transfer, struct evbuffer *input)
 {
-	struct transfer *transfer = user;
 	const struct cm_http_request *request = transfer->request;
+	size_t length = evbuffer_get_length(input);
+	const unsigned char *bytes = evbuffer_pullup(input, -1);
 
-	if (transfer->text->len + size * count > ANSWER_MAX)
-		return 0;
-	g_string_append_len(transfer->text, bytes, (gssize)(size * count));
+	if (!length || transfer->is_done)
+		return;
+	if (transfer->text->len + length > ANSWER_MAX) {
+		transfer_end(transfer, CM_E_TOO_LARGE);
+		return;
+	}
+	g_string_append_len(transfer->text, (const char *)bytes,
+			    (gssize)length);
 	if (request->more && !request->more(request->user, transfer->text->str,
 					    transfer->text->len))
-		transfer->ended = true;
-	return transfer->ended ? 0 : size * count;
+		transfer_end(transfer, CM_E_INTERRUPTED);
+}
+
+static void on_chunk(struct evhttp_request *http, void *user)
+{
+	transfer_take(user, evhttp_request_get_input_buffer(http));
+}
+
+static void on_answer(struct evhttp_request *http, void *user)
+{
+	struct transfer *transfer = user;
+	int status = http ? evhttp_request_get_response_code(http) : 0;
+
+	if (!status) {
+		transfer_end(transfer, CM_E_UNAVAILABLE);
+		return;
+	}
+	transfer_take(transfer, evhttp_request_get_input_buffer(http));
+	transfer->status = (unsigned int)status;
+	transfer_end(transfer, CM_OK);
+}
+
+/* Called before on_answer(), which then gets no answer. */
+static void on_error(enum evhttp_request_error error, void *user)
+{
+	if (error == EVREQ_HTTP_DATA_TOO_LONG)
+		transfer_end(user, CM_E_TOO_LARGE);
+}
+
+static void on_timeout(evutil_socket_t fd, short events, void *user)
+{
+	(void)fd;
+	(void)events;
+	transfer_end(user, CM_E_TIMEOUT);
 }
 
 /* Ends a transfer, above all a waiting watch, when the process stops. */
-static int check_interrupt(void *user, curl_off_t to_get, curl_off_t got,
-			   curl_off_t to_send, curl_off_t sent)
+static void on_interrupt(evutil_socket_t fd, short events, void *user)
 {
-	const struct transfer *transfer = user;
+	struct cm_http_client *client = user;
+
+	(void)fd;
+	(void)events;
+	event_base_loopbreak(client->base);
+}
 
-	(void)to_get;
-	(void)got;
-	(void)to_send;
-	(void)sent;
-	return (int)ck_pr_load_32(&transfer->client->interrupted);
+static void drop_connection(struct cm_http_client *client)
+{
+	if (client->connection)
+		evhttp_connection_free(client->connection);
+	client->connection = NULL;
 }
 
-static int curl_error(CURLcode code)
+static int connect_client(struct cm_http_client *client)
 {
-	switch (code) {
-	case CURLE_OK:
+	if (client->connection)
 		return CM_OK;
-	case CURLE_OPERATION_TIMEDOUT:
-		return CM_E_TIMEOUT;
-	case CURLE_OUT_OF_MEMORY:
+	client->connection = evhttp_connection_base_new(
+		client->base, NULL, client->host, client->port);
+	if (!client->connection)
+		return CM_E_MEMORY;
+	evhttp_connection_set_max_body_size(client->connection, ANSWER_MAX);
+	return CM_OK;
+}
+
+static int add_headers(struct evhttp_request *http,
+		       const struct cm_http_client *client,
+		       const struct cm_http_request *request)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(http);
+
+	if (evhttp_add_header(headers, "Host", client->authority))
+		return CM_E_MEMORY;
+	if (!request->body)
+		return CM_OK;
+	if (evhttp_add_header(headers, "Content-Type", "application/json"))
+		return CM_E_MEMORY;
+	return evbuffer_add(evhttp_request_get_output_buffer(http),
+			    request->body, strlen(request->body)) ?
+		       CM_E_MEMORY :
+		       CM_OK;
+}
+
+/* The connection owns the request once it was made, also when that fails. */
+static int send_request(struct cm_http_client *client,
+			const struct cm_http_request *request,
+			struct transfer *transfer)
+{
+	struct evhttp_request *http = evhttp_request_new(on_answer, transfer);
+	char path[PATH_SIZE];
+
+	if (!http)
+		return CM_E_MEMORY;
+	if (add_headers(http, client, request)) {
+		evhttp_request_free(http);
 		return CM_E_MEMORY;
-	case CURLE_WRITE_ERROR:
-		return CM_E_TOO_LARGE;
-	default:
-		return CM_E_UNAVAILABLE;
 	}
+	evhttp_request_set_chunked_cb(http, on_chunk);
+	evhttp_request_set_error_cb(http, on_error);
+	snprintf(path, sizeof(path), "%s%s", client->base_path, request->path);
+	ck_pr_inc_64(&client->calls);
+	if (evhttp_make_request(
+		    client->connection, http,
+		    request->body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, path))
+		return CM_E_UNAVAILABLE;
+	return CM_OK;
 }
 
-static void set_request(CURL *curl, const struct cm_http_client *client,
-			const struct cm_http_request *request)
+static void wait_for_end(struct cm_http_client *client,
+			 struct transfer *transfer)
 {
-	char url[URL_SIZE];
+	uint32_t timeout_ms = transfer->request->timeout_ms;
+	struct timeval wait = {
+		.tv_sec = timeout_ms / MS_PER_S,
+		.tv_usec = (suseconds_t)(timeout_ms % MS_PER_S) * US_PER_MS,
+	};
+	struct event *timer = evtimer_new(client->base, on_timeout, transfer);
 
-	snprintf(url, sizeof(url), "%s%s", client->url, request->path);
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	if (request->body) {
-		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request->body);
-		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE,
-				 (long)strlen(request->body));
+	if (!timer || evtimer_add(timer, &wait)) {
+		transfer_end(transfer, CM_E_MEMORY);
 	} else {
-		curl_easy_setopt(curl, CURLOPT_HTTPGET, 1L);
+		while (!transfer->is_done &&
+		       !ck_pr_load_32(&client->interrupted))
+			event_base_dispatch(client->base);
 	}
-	curl_easy_setopt(curl, CURLOPT_HTTPHEADER,
-			 request->body ? client->headers : NULL);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+	transfer_end(transfer, CM_E_UNAVAILABLE);
+	if (timer)
+		event_free(timer);
 }
 
 static int perform(struct cm_http_client *client,
 		   const struct cm_http_request *request,
-		   struct transfer *transfer, long *status)
+		   struct transfer *transfer)
 {
-	CURLcode code;
+	int error = connect_client(client);
 
 	if (ck_pr_load_32(&client->interrupted))
 		return CM_E_UNAVAILABLE;
-	set_request(client->curl, client, request);
-	curl_easy_setopt(client->curl, CURLOPT_XFERINFODATA, transfer);
-	curl_easy_setopt(client->curl, CURLOPT_WRITEDATA, transfer);
-	ck_pr_inc_64(&client->calls);
-	code = curl_easy_perform(client->curl);
-	if (transfer->ended)
-		return CM_E_INTERRUPTED;
-	if (code != CURLE_OK)
-		return curl_error(code);
-	curl_easy_getinfo(client->curl, CURLINFO_RESPONSE_CODE, status);
-	return CM_OK;
+	if (!error)
+		error = send_request(client, request, transfer);
+	if (error)
+		return error;
+	wait_for_end(client, transfer);
+	return transfer->error;
 }
 
 int cm_http_call(struct cm_http_client *client,
@@ -121,10 +218,12 @@
 		.request = request,
 		.text = g_string_new(NULL),
 	};
-	long status = 0;
-	int error = perform(client, request, &transfer, &status);
+	int error = perform(client, request, &transfer);
 
-	answer->status = (unsigned int)status;
+	/* What is left of the request must not come with the next answer. */
+	if (error)
+		drop_connection(client);
+	answer->status = transfer.status;
 	answer->length = transfer.text->len;
 	answer->text = g_string_free(transfer.text, FALSE);
 	return error;
@@ -137,36 +236,72 @@
 	answer->length = 0;
 }
 
-static void set_constant_options(CURL *curl)
+bool cm_http_url_is_valid(const char *url)
 {
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
-	curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, check_interrupt);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_bytes);
+	struct evhttp_uri *uri = evhttp_uri_parse(url);
+	const char *scheme = uri ? evhttp_uri_get_scheme(uri) : NULL;
+	const char *host = uri ? evhttp_uri_get_host(uri) : NULL;
+	bool valid = scheme && !strcmp(scheme, "http") && host && *host &&
+		     !evhttp_uri_get_query(uri) &&
+		     !evhttp_uri_get_fragment(uri);
+
+	if (uri)
+		evhttp_uri_free(uri);
+	return valid;
 }
 
-int cm_http_client_init(struct cm_http_client *client, const char *url)
+static int set_url(struct cm_http_client *client, const char *url)
+{
+	struct evhttp_uri *uri = evhttp_uri_parse(url);
+	const char *host = uri ? evhttp_uri_get_host(uri) : NULL;
+	int port = uri ? evhttp_uri_get_port(uri) : 0;
+	size_t length;
+
+	if (host) {
+		client->host = strdup(host);
+		client->port = (uint16_t)(port > 0 ? port : HTTP_PORT);
+		client->authority =
+			g_strdup_printf("%s:%u", host, client->port);
+		client->base_path = strdup(evhttp_uri_get_path(uri));
+	}
+	if (uri)
+		evhttp_uri_free(uri);
+	if (!client->host || !client->base_path)
+		return CM_E_MEMORY;
+	length = strlen(client->base_path);
+	if (length && client->base_path[length - 1] == '/')
+		client->base_path[length - 1] = '\0';
+	return CM_OK;
+}
+
+static int start_loop(struct cm_http_client *client)
 {
-	struct curl_slist *headers;
+	client->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	client->base = event_base_new();
+	if (client->wake_fd < 0 || !client->base)
+		return CM_E_MEMORY;
+	client->wake = event_new(client->base, client->wake_fd, EV_READ,
+				 on_interrupt, client);
+	if (!client->wake || event_add(client->wake, NULL))
+		return CM_E_MEMORY;
+	return CM_OK;
+}
 
+int cm_http_client_init(struct cm_http_client *client, const char *url)
+{
 	memset(client, 0, sizeof(*client));
-	headers = curl_slist_append(NULL, JSON_HEADER);
-	if (headers)
-		client->headers = curl_slist_append(headers, NO_EXPECT_HEADER);
-	client->curl = curl_easy_init();
-	client->url = strdup(url);
-	if (!client->curl || !client->url || !client->headers) {
+	client->wake_fd = -1;
+	if (set_url(client, url) || start_loop(client)) {
 		cm_http_client_finish(client);
 		return CM_E_MEMORY;
 	}
-	set_constant_options(client->curl);
 	return CM_OK;
 }
 
 void cm_http_interrupt(struct cm_http_client *client)
 {
 	ck_pr_store_32(&client->interrupted, 1);
+	eventfd_write(client->wake_fd, 1);
 }
 
 uint64_t cm_http_calls(const struct cm_http_client *client)
@@ -176,9 +311,16 @@
 
 void cm_http_client_finish(struct cm_http_client *client)
 {
-	if (client->curl)
-		curl_easy_cleanup(client->curl);
-	curl_slist_free_all(client->headers);
-	free(client->url);
+	drop_connection(client);
+	if (client->wake)
+		event_free(client->wake);
+	if (client->base)
+		event_base_free(client->base);
+	if (client->wake_fd >= 0)
+		close(client->wake_fd);
+	free(client->host);
+	g_free(client->authority);
+	free(client->base_path);
 	memset(client, 0, sizeof(*client));
+	client->wake_fd = -1;
 }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -14,16 +14,26 @@
 
 /**
  * struct cm_http_client - a client of one server
- * @curl: handle of the HTTP library
- * @url: base URL
- * @headers: headers of requests with a body
+ * @base: event loop of the requests
+ * @connection: connection to the server, or NULL
+ * @wake: event of @wake_fd
+ * @wake_fd: readable once the client was interrupted
+ * @host: host of the server
+ * @port: port of the server
+ * @authority: host and port as in the Host header
+ * @base_path: path of the base URL, without a slash at its end
  * @calls: requests sent so far
  * @interrupted: set to end the request in progress and all later ones
  */
 struct cm_http_client {
-	void *curl;
-	char *url;
-	void *headers;
+	struct event_base *base;
+	struct evhttp_connection *connection;
+	struct event *wake;
+	int wake_fd;
+	char *host;
+	uint16_t port;
+	char *authority;
+	char *base_path;
 	uint64_t calls;
 	uint32_t interrupted;
 };
@@ -57,6 +67,14 @@
 	size_t length;
 };
 
+/**
+ * cm_http_url_is_valid() - whether a client can be made for a URL
+ * @url: the URL
+ *
+ * Return: true for a http URL with a host and without query and fragment.
+ */
+bool cm_http_url_is_valid(const char *url);
+
 /**
  * cm_http_client_init() - make a client
  * @client: memory of the caller
@@ -96,8 +114,7 @@
  * cm_http_interrupt() - end the request in progress and all later ones
  * @client: the client
  *
- * They return CM_E_UNAVAILABLE within about a second. May be called by
- * another thread.
+ * They return CM_E_UNAVAILABLE at once. May be called by another thread.
  */
 void cm_http_interrupt(struct cm_http_client *client);
 
--- a/src/config/settings_check.c
+++ b/src/config/settings_check.c
@@ -1,11 +1,11 @@
 #include "settings.h"
 
-#include <curl/curl.h>
 #include <string.h>
 
+#include "adapters/http_client.h"
 #include "chervilmast/error.h"
 
-static const char *const url_schemes[] = { "http", "https", NULL };
+static const char *const url_schemes[] = { "http", NULL };
 
 static int fail(struct cm_json_error *error, const char *parent,
 		const char *key, int number)
@@ -61,43 +61,11 @@
 	return CM_OK;
 }
 
-static bool scheme_is_known(CURLU *url)
-{
-	const char *const *known = url_schemes;
-	char *scheme;
-
-	if (curl_url_get(url, CURLUPART_SCHEME, &scheme, 0))
-		return false;
-	while (*known && strcmp(*known, scheme) != 0)
-		known++;
-	curl_free(scheme);
-	return *known;
-}
-
 /* Paths of the store's service are appended, so nothing may follow. */
-static bool part_is_missing(CURLU *url, CURLUPart part)
-{
-	char *text;
-
-	if (curl_url_get(url, part, &text, 0))
-		return true;
-	curl_free(text);
-	return false;
-}
-
 static int check_url(const struct cm_settings *settings,
 		     struct cm_json_error *error)
 {
-	CURLU *url = curl_url();
-	bool good;
-
-	if (!url)
-		return fail(error, "store", "url", CM_E_MEMORY);
-	good = !curl_url_set(url, CURLUPART_URL, settings->store_url, 0) &&
-	       scheme_is_known(url) && part_is_missing(url, CURLUPART_QUERY) &&
-	       part_is_missing(url, CURLUPART_FRAGMENT);
-	curl_url_cleanup(url);
-	if (good)
+	if (cm_http_url_is_valid(settings->store_url))
 		return CM_OK;
 	fail(error, "store", "url", CM_E_BAD_URL);
 	error->choices = url_schemes;
--- a/src/config/steer_settings.c
+++ b/src/config/steer_settings.c
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 
+#include "adapters/http_client.h"
 #include "chervilmast/error.h"
 #include "log_levels.h"
 
@@ -85,6 +86,8 @@
 		return result;
 	result = cm_json_read_fields(&root, fields, &read, false, NULL, error);
 	json_decref(root.value);
+	if (!result && !cm_http_url_is_valid(read.store_url))
+		result = cm_json_fail(error, &root, "store_url", CM_E_BAD_URL);
 	if (!result)
 		*settings = read;
 	return result;
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -6,13 +6,13 @@
 #include "steer_internal.h"
 
 /** Time after which a SYN without an answer is found unanswered, ms. */
-#define ANSWER_TIMEOUT_MS 150
+#define ANSWER_TIMEOUT_MS 80
 /** Longest step of the clock that stands while the node is paused, ms. */
 #define ACTIVE_STEP_MS 60
 /** Time without packets after which a flow is forgotten, ms. */
 #define FLOW_IDLE_MS 5000
-/** SYNs in a row without an answer by which a server can't be reached. */
-#define UNREACHABLE_SYNS 2
+/** SYNs in a row without any answer by which the node is cut off. */
+#define CUT_OFF_SYNS 4
 
 void cm_steer_init(struct cm_steer *steer, const struct cm_steer_config *config)
 {
@@ -33,8 +33,7 @@
 
 static bool is_fresh(const struct cm_steer *steer, uint64_t now_ms)
 {
-	return steer->plan.version &&
-	       now_ms <= steer->heard_ms + steer->config.fresh_ms;
+	return now_ms <= steer->heard_ms + steer->config.fresh_ms;
 }
 
 static void set_verdict(struct cm_steer_verdict *verdict,
@@ -44,11 +43,17 @@
 	verdict->reason = reason;
 }
 
-/* A refusal must not rest on what has changed meanwhile: then it is silent. */
+/*
+ * A refusal must not rest on what has changed meanwhile: then it is silent. A
+ * node that knows nothing yet says so at once: the caller's next try may come
+ * to another node.
+ */
 static void refuse(const struct cm_steer *steer, uint64_t now_ms,
 		   enum cm_counter reason, struct cm_steer_verdict *verdict)
 {
-	if (is_fresh(steer, now_ms))
+	if (!steer->plan.version)
+		set_verdict(verdict, CM_STEER_RESET, CM_C_STEER_NO_PLAN);
+	else if (is_fresh(steer, now_ms))
 		set_verdict(verdict, CM_STEER_RESET, reason);
 	else
 		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_STALE);
@@ -96,6 +101,8 @@
 		cm_steer_servers_by_token(&steer->servers, flow->token);
 
 	cm_steer_flows_settle(&steer->flows, flow, false);
+	if (!steer->silent_syns++)
+		steer->silent_since_ms = flow->syn_ms;
 	cm_counters_add(&steer->counters, CM_C_STEER_SYN_UNANSWERED);
 	if (server &&
 	    cm_server_health_unanswered(&server->health, flow->syn_ms))
@@ -184,6 +191,7 @@
 	if (!flow->is_judged)
 		cm_steer_flows_settle(&steer->flows, flow, true);
 	flow->is_open = true;
+	steer->silent_syns = 0;
 	if (cm_server_health_answered(&server->health, now_ms))
 		cm_counters_add(&steer->counters, CM_C_STEER_CLEARED);
 }
@@ -306,15 +314,48 @@
 	pthread_mutex_unlock(&steer->lock);
 }
 
-static bool reaches_a_server(const struct cm_steer *steer, uint64_t now_ms)
+static bool is_cut_off(const struct cm_steer *steer)
 {
-	const struct cm_steer_server *server;
+	return steer->silent_syns >= CUT_OFF_SYNS;
+}
+
+static struct cm_steer_server *next_to_try(struct cm_steer *steer,
+					   uint64_t now_ms)
+{
+	struct cm_steer_server *server, *next = NULL;
 
 	TAILQ_FOREACH (server, &steer->servers.all, link)
 		if (cm_steer_server_is_usable(steer, server, now_ms) &&
-		    server->health.unanswered < UNREACHABLE_SYNS)
-			return true;
-	return false;
+		    (!next || server->chosen < next->chosen))
+			next = server;
+	return next;
+}
+
+bool cm_steer_unreached(struct cm_steer *steer, uint64_t now_ms,
+			struct cm_endpoint *address)
+{
+	struct cm_steer_server *server = NULL;
+
+	pthread_mutex_lock(&steer->lock);
+	if (is_cut_off(steer))
+		server = next_to_try(steer, now_ms);
+	if (server) {
+		server->chosen = ++steer->choices;
+		*address = server->entry.address;
+	}
+	pthread_mutex_unlock(&steer->lock);
+	return server;
+}
+
+void cm_steer_reached(struct cm_steer *steer)
+{
+	struct cm_steer_server *server;
+
+	pthread_mutex_lock(&steer->lock);
+	steer->silent_syns = 0;
+	TAILQ_FOREACH (server, &steer->servers.all, link)
+		server->health.unanswered = 0;
+	pthread_mutex_unlock(&steer->lock);
 }
 
 bool cm_steer_is_ready(struct cm_steer *steer, uint64_t now_ms)
@@ -323,7 +364,7 @@
 
 	pthread_mutex_lock(&steer->lock);
 	ready = steer->plan.version && !steer->is_leaving &&
-		reaches_a_server(steer, now_ms);
+		!is_cut_off(steer) && next_to_try(steer, now_ms);
 	pthread_mutex_unlock(&steer->lock);
 	return ready;
 }
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -41,6 +41,8 @@
 	X(PAUSED, WARNING, "paused",                                           \
 	  "this instance got no time; it drops packets until it caught up")    \
 	X(PLAN, INFO, "plan", "a plan came from the registry")                 \
+	X(REACHED, INFO, "reached",                                            \
+	  "a backend server was reached again after none had answered")        \
 	X(REGISTRY_BAD_ITEM, WARNING, "registry_bad_item",                     \
 	  "an item of the registry can't be used")                             \
 	X(RELOADED, INFO, "reloaded", "the settings were read anew")           \
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -2,6 +2,7 @@
 
 #include <ck_pr.h>
 #include <string.h>
+#include <time.h>
 
 #include "adapters/socket.h"
 #include "chervilmast/error.h"
@@ -12,6 +13,9 @@
 #define PAUSE_MS 200
 /** Pause after a call that failed, ms. */
 #define RETRY_MS 150
+#define MS_PER_S 1000
+#define NS_PER_MS 1000000
+#define NS_PER_S 1000000000
 
 static void told_begin(void *user)
 {
@@ -128,6 +132,14 @@
 	return error;
 }
 
+static void note_tried(struct cm_registry_loop *loop)
+{
+	pthread_mutex_lock(&loop->lock);
+	loop->is_tried = true;
+	pthread_cond_broadcast(&loop->tried);
+	pthread_mutex_unlock(&loop->lock);
+}
+
 static void take_step(struct cm_registry_loop *loop)
 {
 	uint64_t asked_ms = cm_clock_ms();
@@ -139,10 +151,30 @@
 	count_calls(loop);
 	if (error && error != CM_E_COMPACTED)
 		cm_counters_add(&loop->steer->counters, CM_C_STORE_RETRIES);
+	note_tried(loop);
 	if (!ck_pr_load_32(&loop->stopping))
 		cm_clock_sleep_ms(error ? RETRY_MS : PAUSE_MS);
 }
 
+void cm_registry_loop_wait_first(struct cm_registry_loop *loop,
+				 uint32_t most_ms)
+{
+	struct timespec end;
+
+	clock_gettime(CLOCK_MONOTONIC, &end);
+	end.tv_sec += most_ms / MS_PER_S;
+	end.tv_nsec += (long)(most_ms % MS_PER_S) * NS_PER_MS;
+	if (end.tv_nsec >= NS_PER_S) {
+		end.tv_sec++;
+		end.tv_nsec -= NS_PER_S;
+	}
+	pthread_mutex_lock(&loop->lock);
+	while (!loop->is_tried &&
+	       !pthread_cond_timedwait(&loop->tried, &loop->lock, &end))
+		;
+	pthread_mutex_unlock(&loop->lock);
+}
+
 static void *registry_thread(void *user)
 {
 	struct cm_registry_loop *loop = user;
@@ -155,11 +187,18 @@
 int cm_registry_loop_init(struct cm_registry_loop *loop, struct cm_steer *steer,
 			  struct cm_registry *registry, uint32_t wait_ms)
 {
+	pthread_condattr_t monotonic;
+
 	memset(loop, 0, sizeof(*loop));
 	loop->steer = steer;
 	loop->registry = registry;
 	loop->wait_ms = wait_ms;
 	loop->is_reachable = true;
+	pthread_mutex_init(&loop->lock, NULL);
+	pthread_condattr_init(&monotonic);
+	pthread_condattr_setclock(&monotonic, CLOCK_MONOTONIC);
+	pthread_cond_init(&loop->tried, &monotonic);
+	pthread_condattr_destroy(&monotonic);
 	if (pthread_create(&loop->thread, NULL, registry_thread, loop))
 		return CM_E_MEMORY;
 	return CM_OK;
--- a/src/daemon/registry_loop.h
+++ b/src/daemon/registry_loop.h
@@ -20,6 +20,9 @@
  * @wait_ms: longest wait for changes in one call
  * @is_read: all of the registry was read once
  * @is_reachable: the last call was answered
+ * @lock: guards @is_tried
+ * @tried: signalled when @is_tried is set
+ * @is_tried: the first call has ended
  * @counted: calls that were counted so far
  * @stopping: set to stop the thread
  * @thread: the thread
@@ -30,6 +33,9 @@
 	uint32_t wait_ms;
 	bool is_read;
 	bool is_reachable;
+	pthread_mutex_t lock;
+	pthread_cond_t tried;
+	bool is_tried;
 	uint64_t counted;
 	uint32_t stopping;
 	pthread_t thread;
@@ -47,6 +53,14 @@
 int cm_registry_loop_init(struct cm_registry_loop *loop, struct cm_steer *steer,
 			  struct cm_registry *registry, uint32_t wait_ms);
 
+/**
+ * cm_registry_loop_wait_first() - wait until the first call has ended
+ * @loop: the loop
+ * @most_ms: longest wait
+ */
+void cm_registry_loop_wait_first(struct cm_registry_loop *loop,
+				 uint32_t most_ms);
+
 /**
  * cm_registry_loop_finish() - stop the thread
  * @loop: the loop; its memory stays the caller's
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -19,6 +19,11 @@
 #define WAIT_PART 2
 /** Part of a bound that is left for packets on their way, ms. */
 #define DOMAIN_OUT_MARGIN_MS 500
+/**
+ * Longest time after the start in which packets wait in the socket for what the
+ * registry says, ms.
+ */
+#define FIRST_READ_MS 400
 /** Graceful shutdown: time in which the fabric notices it, ms. */
 #define STOP_LEAST_MS 1500
 /** Graceful shutdown: time without packets after which nothing is left, ms. */
@@ -250,6 +255,7 @@
 	cm_log(CM_EVENT_STARTED, "name=%s failure_domain=%s data=%s",
 	       settings->name, settings->domain,
 	       cm_endpoint_write(&settings->packets, address));
+	cm_registry_loop_wait_first(&entry.feed, FIRST_READ_MS);
 	error = run_until_signal(&entry, &signals);
 	if (!error)
 		leave(&entry, &signals);
--- a/src/daemon/steer_loop.c
+++ b/src/daemon/steer_loop.c
@@ -7,6 +7,8 @@
 
 /** Time between ticks, ms. */
 #define TICK_MS 25
+/** Time between tries to reach a server while the node is cut off, ms. */
+#define PROBE_MS 400
 
 int cm_steer_loop_init(struct cm_steer_loop *loop, struct cm_steer *steer,
 		       const struct cm_fabric_ops *fabric,
@@ -16,14 +18,34 @@
 	loop->fabric = fabric;
 	loop->caller_port = address->port;
 	loop->ticked_ms = cm_clock_ms();
+	loop->probed_ms = 0;
+	cm_reach_probe_init(&loop->probe);
 	return cm_udp_batch_init(&loop->batch, address);
 }
 
 void cm_steer_loop_finish(struct cm_steer_loop *loop)
 {
+	cm_reach_probe_finish(&loop->probe);
 	cm_udp_batch_finish(&loop->batch);
 }
 
+/* While no server answers, the fabric gives no flows that could tell more. */
+static void probe(struct cm_steer_loop *loop, uint64_t now_ms)
+{
+	struct cm_endpoint address;
+
+	if (cm_reach_probe_check(&loop->probe)) {
+		cm_steer_reached(loop->steer);
+		cm_log(CM_EVENT_REACHED, "outcome=ready");
+	}
+	if (now_ms < loop->probed_ms + PROBE_MS ||
+	    !cm_steer_unreached(loop->steer, now_ms, &address))
+		return;
+	loop->probed_ms = now_ms;
+	cm_counters_add(&loop->steer->counters, CM_C_STEER_CUT_OFF);
+	cm_reach_probe_start(&loop->probe, &address);
+}
+
 static void forward(struct cm_steer_loop *loop, struct cm_datagram *datagram,
 		    const struct cm_steer_verdict *verdict)
 {
@@ -98,6 +120,7 @@
 	if (now_ms < loop->ticked_ms + TICK_MS)
 		return;
 	cm_steer_tick(loop->steer, now_ms);
+	probe(loop, now_ms);
 	loop->ticked_ms = now_ms;
 }
 
--- a/src/daemon/steer_loop.h
+++ b/src/daemon/steer_loop.h
@@ -7,6 +7,7 @@
 #ifndef DAEMON_STEER_LOOP_H
 #define DAEMON_STEER_LOOP_H
 
+#include "adapters/reach_probe.h"
 #include "adapters/udp_batch.h"
 #include "chervilmast/steer.h"
 #include "ports/fabric.h"
@@ -19,6 +20,8 @@
  * @batch: the socket
  * @resets: room for the resets of a batch
  * @ticked_ms: when the node was last ticked
+ * @probe: tries a server while the node seems to be cut off
+ * @probed_ms: when the last try began
  */
 struct cm_steer_loop {
 	struct cm_steer *steer;
@@ -27,6 +30,8 @@
 	struct cm_udp_batch batch;
 	uint8_t resets[CM_UDP_BATCH][CM_FABRIC_RESET_MAX];
 	uint64_t ticked_ms;
+	struct cm_reach_probe probe;
+	uint64_t probed_ms;
 };
 
 /**
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -1,15 +1,16 @@
 #include "standin/standin.h"
 
-#include <curl/curl.h>
 #include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapters/http_client.h"
 #include "standin/store_service.h"
 
 #define URL_SIZE 64
+#define SWITCH_TIMEOUT_MS 10000
 
 static int load_keys(struct standin_store *store, const char *file)
 {
@@ -54,18 +55,22 @@
 
 int standin_switch(int argc, char **argv)
 {
+	struct cm_http_request request = { .path = "/switch",
+					   .timeout_ms = SWITCH_TIMEOUT_MS };
+	struct cm_http_answer answer;
+	struct cm_http_client client;
 	char url[URL_SIZE];
-	CURL *curl = curl_easy_init();
-	CURLcode code;
+	int error;
 
-	if (argc < 3 || !curl)
+	if (argc < 3)
+		return 2;
+	snprintf(url, sizeof(url), "http://127.0.0.1:%s", argv[1]);
+	if (cm_http_client_init(&client, url))
 		return 2;
-	snprintf(url, sizeof(url), "http://127.0.0.1:%s/switch", argv[1]);
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, argv[2]);
-	code = curl_easy_perform(curl);
-	curl_easy_cleanup(curl);
-	putchar('\n');
-	return code == CURLE_OK ? 0 : 1;
+	request.body = argv[2];
+	error = cm_http_call(&client, &request, &answer);
+	puts(answer.text);
+	cm_http_answer_finish(&answer);
+	cm_http_client_finish(&client);
+	return error ? 1 : 0;
 }
--- a/tests/unit/test_store_lease.c
+++ b/tests/unit/test_store_lease.c
@@ -26,7 +26,8 @@
 	CURL *curl = curl_easy_init();
 	long status = 0;
 
-	snprintf(url, sizeof(url), "%s/v3/%s", subject->etcd.http.url, path);
+	snprintf(url, sizeof(url), "http://%s/v3/%s",
+		 subject->etcd.http.authority, path);
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_PROXY, "");
 	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
