--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -18,6 +18,7 @@
 
 #include "chervilmast/counter.h"
 #include "chervilmast/steer_flow.h"
+#include "chervilmast/steer_peer.h"
 #include "chervilmast/steer_plan.h"
 #include "chervilmast/steer_server.h"
 
@@ -123,6 +124,7 @@
  * @config: its settings
  * @plan: the plan in force; version 0 before the first
  * @servers: the backend servers
+ * @peers: the nodes of the fleet
  * @flows: flows that it saw opening
  * @out: failure domains that are out
  * @out_count: number of @out
@@ -143,6 +145,7 @@
 	struct cm_steer_config config;
 	struct cm_steer_plan plan;
 	struct cm_steer_servers servers;
+	struct cm_steer_peers peers;
 	struct cm_steer_flows flows;
 	struct cm_domain_out out[CM_STEER_DOMAINS_OUT_MAX];
 	uint32_t out_count;
@@ -224,6 +227,25 @@
 void cm_steer_remove_server(struct cm_steer *steer, uint64_t now_ms,
 			    uint64_t id);
 
+/**
+ * cm_steer_put_peer() - take what the registry says of a node of the fleet
+ * @steer: the node
+ * @entry: what it says
+ *
+ * Return: 0 or an error of cm_steer_peers_put().
+ */
+int cm_steer_put_peer(struct cm_steer *steer,
+		      const struct cm_peer_entry *entry);
+
+/**
+ * cm_steer_remove_peer() - the registry's entry of a node went
+ * @steer: the node
+ * @now_ms: current time
+ * @name: name of the other node
+ */
+void cm_steer_remove_peer(struct cm_steer *steer, uint64_t now_ms,
+			  const char *name);
+
 /**
  * cm_steer_set_domain_out() - take a failure domain out, or back
  * @steer: the node
--- a/include/chervilmast/steer_choice.h
+++ b/include/chervilmast/steer_choice.h
@@ -27,10 +27,24 @@
  * cm_steer_choose() - choose a server
  * @steer: the node; its lock is held
  * @choice: what it is about
+ * @is_full: set when every server has as many flows as it can serve in good
+ *           time
+ *
+ * Nothing is counted yet: cm_steer_chosen() does that.
  *
  * Return: the server, or NULL when none may get the flow.
  */
 struct cm_steer_server *cm_steer_choose(struct cm_steer *steer,
-					const struct cm_choice *choice);
+					const struct cm_choice *choice,
+					bool *is_full);
+
+/**
+ * cm_steer_chosen() - a flow goes to the server that was chosen
+ * @steer: the node; its lock is held
+ * @server: the server
+ * @now_ms: current time
+ */
+void cm_steer_chosen(struct cm_steer *steer, struct cm_steer_server *server,
+		     uint64_t now_ms);
 
 #endif
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -11,6 +11,8 @@
 #define ACTIVE_STEP_MS 60
 /** Time without packets after which a flow is forgotten, ms. */
 #define FLOW_IDLE_MS 5000
+/** Number of SYNs of a flow before the last one. */
+#define LAST_REPEAT 2
 /** SYNs in a row without any answer by which the node is cut off. */
 #define CUT_OFF_SYNS 4
 
@@ -20,6 +22,7 @@
 	pthread_mutex_init(&steer->lock, NULL);
 	steer->config = *config;
 	cm_steer_servers_init(&steer->servers);
+	cm_steer_peers_init(&steer->peers);
 	cm_steer_flows_init(&steer->flows, config->flows_max);
 }
 
@@ -27,6 +30,7 @@
 {
 	cm_steer_flows_finish(&steer->flows);
 	cm_steer_servers_finish(&steer->servers);
+	cm_steer_peers_finish(&steer->peers);
 	cm_steer_plan_finish(&steer->plan);
 	pthread_mutex_destroy(&steer->lock);
 }
@@ -70,13 +74,20 @@
 	steer->last_flow_ms = now_ms;
 }
 
+static void count_closed(struct cm_steer_server *server)
+{
+	if (server && server->open)
+		server->open--;
+}
+
+/* A flow whose SYN was found unanswered is not counted as open any more. */
 static void forget_flow(struct cm_steer *steer, struct cm_steer_flow *flow)
 {
 	struct cm_steer_server *server =
 		cm_steer_servers_by_token(&steer->servers, flow->token);
 
-	if (server && server->open)
-		server->open--;
+	if (!flow->is_judged)
+		count_closed(server);
 	cm_steer_flows_remove(&steer->flows, flow);
 }
 
@@ -101,6 +112,7 @@
 		cm_steer_servers_by_token(&steer->servers, flow->token);
 
 	cm_steer_flows_settle(&steer->flows, flow, false);
+	count_closed(server);
 	if (!steer->silent_syns++)
 		steer->silent_since_ms = flow->syn_ms;
 	cm_counters_add(&steer->counters, CM_C_STEER_SYN_UNANSWERED);
@@ -131,6 +143,15 @@
 	return true;
 }
 
+/*
+ * While all servers are full, flows that just began come first: they can still
+ * be served in good time. The others repeat their SYN a last time.
+ */
+static bool may_come_later(const struct cm_steer_packet *packet)
+{
+	return packet->repeats > 0 && packet->repeats < LAST_REPEAT;
+}
+
 static void place(struct cm_steer *steer, uint64_t now_ms,
 		  const struct cm_steer_packet *packet,
 		  const struct cm_steer_route *route, uint32_t avoid_token,
@@ -143,15 +164,21 @@
 		.now_ms = now_ms,
 	};
 	struct cm_steer_server *server = NULL;
+	bool is_full = false;
 
 	if (choice.service) {
 		memcpy(verdict->service, choice.service, CM_NAME_SIZE);
-		server = cm_steer_choose(steer, &choice);
+		server = cm_steer_choose(steer, &choice, &is_full);
+	}
+	if (server && is_full && may_come_later(packet)) {
+		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_DEFERRED);
+		return;
 	}
 	if (!server) {
 		refuse(steer, now_ms, CM_C_STEER_NO_SERVER, verdict);
 		return;
 	}
+	cm_steer_chosen(steer, server, now_ms);
 	remember_flow(steer, now_ms, &packet->key, server);
 	send_to(steer, now_ms, server,
 		avoid_token ? CM_C_STEER_PLACED_AGAIN : CM_C_STEER_PLACED,
@@ -188,8 +215,11 @@
 			struct cm_steer_flow *flow,
 			struct cm_steer_server *server)
 {
-	if (!flow->is_judged)
+	if (flow->is_judged)
+		server->open++;
+	else
 		cm_steer_flows_settle(&steer->flows, flow, true);
+	flow->is_judged = false;
 	flow->is_open = true;
 	steer->silent_syns = 0;
 	if (cm_server_health_answered(&server->health, now_ms))
@@ -301,6 +331,7 @@
 	advance_clock(steer, now_ms);
 	judge_opening(steer);
 	forget_idle(steer, now_ms);
+	cm_steer_forget_lapsed_peers(steer, now_ms);
 	if (now_ms > steer->config.flow_life_ms)
 		cm_steer_servers_sweep(&steer->servers,
 				       now_ms - steer->config.flow_life_ms);
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -5,7 +5,6 @@
 #include "steer_internal.h"
 
 #define PER_MILLE 1000
-#define EIGHTHS 8
 /** Cost of leaving the own failure domain, thousandths of a free server. */
 #define REMOTE_COST 500
 /** Cost of a server in its cold start, thousandths of a free server. */
@@ -14,21 +13,98 @@
 #define SLOW_PER_MILLE 1500
 /** Age at which the time that a server took says nothing any more, ms. */
 #define SERVICE_STALE_MS 4000
-/** Nodes that a cold server's rate is shared between. */
-#define COLD_SHARERS 4
+/** Nodes that give flows to a server, while none is known. */
+#define SHARERS_DEFAULT 4
+/**
+ * Flows for each slot with which a server is full: as many as it works on wait,
+ * so that a flow waits about as long as it is worked on.
+ */
+#define FULL_PER_SLOT 2
 /** Flows that a cold server may get at once, thousandths. */
 #define COLD_BURST 2000
 
 /**
- * struct usual - what is usual of the servers of a service
- * @sum: sum of their times, eighths of ms
- * @count: number of servers in @sum
+ * struct outlook - what a choice looks at beside each server
+ * @choice: what it is about
+ * @usual_sum: sum of the known times of servers, eighths of ms
+ * @usual_count: number of servers in @usual_sum
+ * @strangers: nodes of failure domains without a server of the service; they
+ *             give their flows to all others
  */
-struct usual {
-	uint64_t sum;
-	uint32_t count;
+struct outlook {
+	const struct cm_choice *choice;
+	uint64_t usual_sum;
+	uint32_t usual_count;
+	uint32_t strangers;
 };
 
+static bool is_candidate(const struct cm_steer *steer,
+			 const struct cm_steer_server *server,
+			 const struct cm_choice *choice)
+{
+	return !strcmp(server->entry.service, choice->service) &&
+	       cm_steer_server_is_usable(steer, server, choice->now_ms) &&
+	       cm_steer_servers_by_token(&steer->servers, server->token) ==
+		       server;
+}
+
+static bool domain_has_candidate(const struct cm_steer *steer,
+				 const struct cm_choice *choice,
+				 const char *domain)
+{
+	const struct cm_steer_server *server;
+
+	TAILQ_FOREACH (server, &steer->servers.all, link)
+		if (!strcmp(server->entry.domain, domain) &&
+		    is_candidate(steer, server, choice))
+			return true;
+	return false;
+}
+
+/* Nodes of one domain stand together as a rule: the domain is looked up once.
+ */
+static uint32_t count_strangers(const struct cm_steer *steer,
+				const struct cm_choice *choice)
+{
+	const struct cm_steer_peer *peer;
+	const char *domain = NULL;
+	bool has_candidate = true;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH (peer, &steer->peers.all, link) {
+		if (!domain || strcmp(domain, peer->entry.domain) != 0) {
+			domain = peer->entry.domain;
+			has_candidate =
+				domain_has_candidate(steer, choice, domain);
+		}
+		count += !has_candidate;
+	}
+	return count;
+}
+
+/* Nodes that give flows to a server, this one included. */
+static uint32_t sharers(const struct cm_steer *steer,
+			const struct cm_steer_server *server,
+			const struct outlook *outlook)
+{
+	uint32_t count = outlook->strangers +
+			 cm_steer_peers_in(&steer->peers, server->entry.domain);
+
+	return count ? count : SHARERS_DEFAULT;
+}
+
+/* Flows of all nodes for each slot, in thousandths, if all are like this one.
+ */
+static uint64_t load(const struct cm_steer *steer,
+		     const struct cm_steer_server *server,
+		     const struct outlook *outlook)
+{
+	if (!server->open)
+		return 0;
+	return (uint64_t)server->open * sharers(steer, server, outlook) *
+	       PER_MILLE / server->entry.slots;
+}
+
 static bool service_time_is_known(const struct cm_steer_server *server,
 				  uint64_t now_ms)
 {
@@ -38,49 +114,51 @@
 
 /* Time that a flow takes there, thousandths of the usual; slight ones are 1. */
 static uint64_t slowness(const struct cm_steer_server *server,
-			 const struct usual *usual, uint64_t now_ms)
+			 const struct outlook *outlook)
 {
 	uint64_t ratio;
 
-	if (usual->count < 2 || !service_time_is_known(server, now_ms))
+	if (outlook->usual_count < 2 ||
+	    !service_time_is_known(server, outlook->choice->now_ms))
 		return PER_MILLE;
 	ratio = (uint64_t)server->health.service_eighths * PER_MILLE *
-		usual->count / (usual->sum + 1);
+		outlook->usual_count / (outlook->usual_sum + 1);
 	return ratio < SLOW_PER_MILLE ? PER_MILLE : ratio;
 }
 
 static uint64_t cost(const struct cm_steer *steer,
 		     const struct cm_steer_server *server,
-		     const struct usual *usual, uint64_t now_ms)
+		     const struct outlook *outlook)
 {
-	uint64_t load = PER_MILLE + (uint64_t)server->open * PER_MILLE /
-					    server->entry.slots;
-	uint64_t sum = load * slowness(server, usual, now_ms) / PER_MILLE;
+	uint64_t sum = (PER_MILLE + load(steer, server, outlook)) *
+		       slowness(server, outlook) / PER_MILLE;
 
 	if (strcmp(server->entry.domain, steer->config.domain) != 0)
 		sum += REMOTE_COST;
-	if (now_ms < server->cold_until_ms)
+	if (outlook->choice->now_ms < server->cold_until_ms)
 		sum += COLD_COST;
 	return sum;
 }
 
 /* During a cold start a server gets no more than this node's part of a rate. */
 static void refill_cold(struct cm_steer_server *server, uint32_t per_s,
-			uint64_t now_ms)
+			uint32_t nodes, uint64_t now_ms)
 {
 	uint64_t passed_ms = now_ms - server->cold_refilled_ms;
 
 	if (passed_ms > PER_MILLE)
 		passed_ms = PER_MILLE;
-	server->cold_tokens += passed_ms * per_s / COLD_SHARERS;
+	server->cold_tokens += passed_ms * per_s / nodes;
 	if (server->cold_tokens > COLD_BURST)
 		server->cold_tokens = COLD_BURST;
 	server->cold_refilled_ms = now_ms;
 }
 
 static bool cold_start_allows(const struct cm_steer *steer,
-			      struct cm_steer_server *server, uint64_t now_ms)
+			      struct cm_steer_server *server,
+			      const struct outlook *outlook)
 {
+	uint64_t now_ms = outlook->choice->now_ms;
 	const struct cm_steer_service *service;
 
 	if (now_ms >= server->cold_until_ms)
@@ -88,31 +166,23 @@
 	service = cm_steer_plan_service(&steer->plan, server->entry.service);
 	if (!service || !service->cold_per_s)
 		return true;
-	refill_cold(server, service->cold_per_s, now_ms);
+	refill_cold(server, service->cold_per_s,
+		    sharers(steer, server, outlook), now_ms);
 	return server->cold_tokens >= PER_MILLE;
 }
 
-static bool is_candidate(const struct cm_steer *steer,
-			 const struct cm_steer_server *server,
-			 const struct cm_choice *choice)
-{
-	return !strcmp(server->entry.service, choice->service) &&
-	       cm_steer_server_is_usable(steer, server, choice->now_ms) &&
-	       cm_steer_servers_by_token(&steer->servers, server->token) ==
-		       server;
-}
-
-static void learn_usual(const struct cm_steer *steer,
-			const struct cm_choice *choice, struct usual *usual)
+static void look(const struct cm_steer *steer, struct outlook *outlook)
 {
+	const struct cm_choice *choice = outlook->choice;
 	const struct cm_steer_server *server;
 
+	outlook->strangers = count_strangers(steer, choice);
 	TAILQ_FOREACH (server, &steer->servers.all, link) {
 		if (!is_candidate(steer, server, choice) ||
 		    !service_time_is_known(server, choice->now_ms))
 			continue;
-		usual->sum += server->health.service_eighths;
-		usual->count++;
+		outlook->usual_sum += server->health.service_eighths;
+		outlook->usual_count++;
 	}
 }
 
@@ -127,25 +197,37 @@
 }
 
 /* Servers that answer; those under suspicion only when a trial is due. */
+static bool may_get(const struct cm_steer *steer,
+		    struct cm_steer_server *server,
+		    const struct outlook *outlook)
+{
+	const struct cm_choice *choice = outlook->choice;
+
+	if (!is_candidate(steer, server, choice) ||
+	    server->token == choice->avoid_token)
+		return false;
+	if (cm_server_health_is_suspected(&server->health) &&
+	    !cm_server_health_may_try(&server->health, choice->now_ms))
+		return false;
+	return cold_start_allows(steer, server, outlook);
+}
+
 static struct cm_steer_server *choose_best(struct cm_steer *steer,
-					   const struct cm_choice *choice,
-					   const struct usual *usual)
+					   const struct outlook *outlook,
+					   bool *is_full)
 {
 	struct cm_steer_server *server, *best = NULL;
 	uint64_t best_cost = 0;
 
+	*is_full = true;
 	TAILQ_FOREACH (server, &steer->servers.all, link) {
 		uint64_t its_cost;
 
-		if (!is_candidate(steer, server, choice) ||
-		    server->token == choice->avoid_token)
+		if (!may_get(steer, server, outlook))
 			continue;
-		if (cm_server_health_is_suspected(&server->health) &&
-		    !cm_server_health_may_try(&server->health, choice->now_ms))
-			continue;
-		if (!cold_start_allows(steer, server, choice->now_ms))
-			continue;
-		its_cost = cost(steer, server, usual, choice->now_ms);
+		if (load(steer, server, outlook) < FULL_PER_SLOT * PER_MILLE)
+			*is_full = false;
+		its_cost = cost(steer, server, outlook);
 		if (!is_better(server, its_cost, best, best_cost))
 			continue;
 		best = server;
@@ -156,13 +238,13 @@
 
 /* When none answers, the one that was tried longest ago. */
 static struct cm_steer_server *choose_suspect(struct cm_steer *steer,
-					      const struct cm_choice *choice)
+					      const struct outlook *outlook)
 {
 	struct cm_steer_server *server, *best = NULL;
 
 	TAILQ_FOREACH (server, &steer->servers.all, link) {
-		if (!is_candidate(steer, server, choice) ||
-		    !cold_start_allows(steer, server, choice->now_ms))
+		if (!is_candidate(steer, server, outlook->choice) ||
+		    !cold_start_allows(steer, server, outlook))
 			continue;
 		if (!best || server->health.trial_ms < best->health.trial_ms)
 			best = server;
@@ -171,21 +253,25 @@
 }
 
 struct cm_steer_server *cm_steer_choose(struct cm_steer *steer,
-					const struct cm_choice *choice)
+					const struct cm_choice *choice,
+					bool *is_full)
 {
-	struct usual usual = { .count = 0 };
+	struct outlook outlook = { .choice = choice };
 	struct cm_steer_server *server;
 
-	learn_usual(steer, choice, &usual);
-	server = choose_best(steer, choice, &usual);
-	if (!server)
-		server = choose_suspect(steer, choice);
-	if (!server)
-		return NULL;
+	look(steer, &outlook);
+	server = choose_best(steer, &outlook, is_full);
+	if (server)
+		return server;
+	*is_full = false;
+	return choose_suspect(steer, &outlook);
+}
+
+void cm_steer_chosen(struct cm_steer *steer, struct cm_steer_server *server,
+		     uint64_t now_ms)
+{
 	server->chosen = ++steer->choices;
-	if (choice->now_ms < server->cold_until_ms &&
-	    server->cold_tokens >= PER_MILLE)
+	if (now_ms < server->cold_until_ms && server->cold_tokens >= PER_MILLE)
 		server->cold_tokens -= PER_MILLE;
-	cm_server_health_tried(&server->health, choice->now_ms);
-	return server;
+	cm_server_health_tried(&server->health, now_ms);
 }
--- /dev/null
+++ b/src/core/steer_peer.c
@@ -0,0 +1,68 @@
+#include "chervilmast/steer_peer.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "chervilmast/error.h"
+
+void cm_steer_peers_init(struct cm_steer_peers *peers)
+{
+	TAILQ_INIT(&peers->all);
+	peers->count = 0;
+}
+
+void cm_steer_peers_finish(struct cm_steer_peers *peers)
+{
+	while (!TAILQ_EMPTY(&peers->all))
+		cm_steer_peers_remove(peers, TAILQ_FIRST(&peers->all));
+}
+
+struct cm_steer_peer *cm_steer_peers_find(const struct cm_steer_peers *peers,
+					  const char *name)
+{
+	struct cm_steer_peer *peer;
+
+	TAILQ_FOREACH (peer, &peers->all, link)
+		if (!strcmp(peer->entry.name, name))
+			return peer;
+	return NULL;
+}
+
+int cm_steer_peers_put(struct cm_steer_peers *peers,
+		       const struct cm_peer_entry *entry)
+{
+	struct cm_steer_peer *peer = cm_steer_peers_find(peers, entry->name);
+
+	if (!peer) {
+		if (peers->count == CM_STEER_PEERS_MAX)
+			return CM_E_TOO_LARGE;
+		peer = calloc(1, sizeof(*peer));
+		if (!peer)
+			return CM_E_MEMORY;
+		TAILQ_INSERT_TAIL(&peers->all, peer, link);
+		peers->count++;
+	}
+	peer->entry = *entry;
+	peer->is_seen = true;
+	peer->is_lapsed = false;
+	return CM_OK;
+}
+
+void cm_steer_peers_remove(struct cm_steer_peers *peers,
+			   struct cm_steer_peer *peer)
+{
+	TAILQ_REMOVE(&peers->all, peer, link);
+	peers->count--;
+	free(peer);
+}
+
+uint32_t cm_steer_peers_in(const struct cm_steer_peers *peers,
+			   const char *domain)
+{
+	const struct cm_steer_peer *peer;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH (peer, &peers->all, link)
+		count += !strcmp(peer->entry.domain, domain);
+	return count;
+}
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -83,6 +83,65 @@
 	pthread_mutex_unlock(&steer->lock);
 }
 
+int cm_steer_put_peer(struct cm_steer *steer, const struct cm_peer_entry *entry)
+{
+	int error;
+
+	pthread_mutex_lock(&steer->lock);
+	error = cm_steer_peers_put(&steer->peers, entry);
+	pthread_mutex_unlock(&steer->lock);
+	return error;
+}
+
+static void peer_gone(struct cm_steer *steer, struct cm_steer_peer *peer,
+		      uint64_t now_ms)
+{
+	if (may_have_lapsed(steer, now_ms))
+		peer->is_lapsed = true;
+	else
+		cm_steer_peers_remove(&steer->peers, peer);
+}
+
+void cm_steer_remove_peer(struct cm_steer *steer, uint64_t now_ms,
+			  const char *name)
+{
+	struct cm_steer_peer *peer;
+
+	pthread_mutex_lock(&steer->lock);
+	peer = cm_steer_peers_find(&steer->peers, name);
+	if (peer)
+		peer_gone(steer, peer, now_ms);
+	pthread_mutex_unlock(&steer->lock);
+}
+
+void cm_steer_forget_lapsed_peers(struct cm_steer *steer, uint64_t now_ms)
+{
+	struct cm_steer_peer *peer = TAILQ_FIRST(&steer->peers.all);
+
+	if (may_have_lapsed(steer, now_ms))
+		return;
+	while (peer) {
+		struct cm_steer_peer *next = TAILQ_NEXT(peer, link);
+
+		if (peer->is_lapsed)
+			cm_steer_peers_remove(&steer->peers, peer);
+		peer = next;
+	}
+}
+
+static void forget_unseen_peers(struct cm_steer *steer, uint64_t now_ms)
+{
+	struct cm_steer_peer *peer = TAILQ_FIRST(&steer->peers.all);
+
+	while (peer) {
+		struct cm_steer_peer *next = TAILQ_NEXT(peer, link);
+
+		if (!peer->is_seen)
+			peer_gone(steer, peer, now_ms);
+		peer = next;
+	}
+}
+
 static void remove_domain_out(struct cm_steer *steer, struct cm_domain_out *out)
 {
 	*out = steer->out[--steer->out_count];
@@ -141,10 +200,13 @@
 void cm_steer_snapshot_begin(struct cm_steer *steer)
 {
 	struct cm_steer_server *server;
+	struct cm_steer_peer *peer;
 
 	pthread_mutex_lock(&steer->lock);
 	TAILQ_FOREACH (server, &steer->servers.all, link)
 		server->is_seen = false;
+	TAILQ_FOREACH (peer, &steer->peers.all, link)
+		peer->is_seen = false;
 	for (uint32_t i = 0; i < steer->out_count; i++)
 		steer->out[i].is_seen = false;
 	pthread_mutex_unlock(&steer->lock);
@@ -158,6 +220,7 @@
 	TAILQ_FOREACH (server, &steer->servers.all, link)
 		if (!server->is_seen && server->listing != CM_LEFT)
 			server_gone(steer, server, now_ms);
+	forget_unseen_peers(steer, now_ms);
 	for (uint32_t i = steer->out_count; i > 0; i--)
 		if (!steer->out[i - 1].is_seen)
 			remove_domain_out(steer, &steer->out[i - 1]);
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -11,6 +11,8 @@
 
 /* X(constant, level, name in the log, what happened) */
 #define CM_LOG_EVENTS(X)                                                       \
+	X(ANNOUNCE_FAILED, WARNING, "announce_failed",                         \
+	  "the registry did not take this instance's own entry")               \
 	X(CAUGHT_UP, INFO, "caught_up",                                        \
 	  "after a pause, packets are handled again")                          \
 	X(CONTROL_UNAVAILABLE, ERROR, "control_unavailable",                   \
@@ -40,6 +42,10 @@
 	  "a snapshot of all release notes is in force at this instance")      \
 	X(PAUSED, WARNING, "paused",                                           \
 	  "this instance got no time; it drops packets until it caught up")    \
+	X(PEER_ENTRY, INFO, "peer_entry",                                      \
+	  "the registry's entry of an instance came")                          \
+	X(PEER_GONE, INFO, "peer_gone",                                        \
+	  "the registry's entry of an instance went")                          \
 	X(PLAN, INFO, "plan", "a plan came from the registry")                 \
 	X(REACHED, INFO, "reached",                                            \
 	  "a backend server was reached again after none had answered")        \
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -13,6 +13,8 @@
 #define PAUSE_MS 200
 /** Pause after a call that failed, ms. */
 #define RETRY_MS 150
+/** Time between renewals of the node's own entry, ms. */
+#define ANNOUNCE_MS (CM_REGISTRY_ENTRY_MS / 3)
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 #define NS_PER_S 1000000000
@@ -53,6 +55,23 @@
 	cm_log(CM_EVENT_SERVER_GONE, "server=%llx", (unsigned long long)id);
 }
 
+static void told_peer(void *user, const struct cm_peer_entry *entry)
+{
+	struct cm_registry_loop *loop = user;
+	int error = cm_steer_put_peer(loop->steer, entry);
+
+	cm_log(CM_EVENT_PEER_ENTRY, "peer=%s failure_domain=%s outcome=%s",
+	       entry->name, entry->domain, cm_error_name(error));
+}
+
+static void told_peer_gone(void *user, const char *name)
+{
+	struct cm_registry_loop *loop = user;
+
+	cm_steer_remove_peer(loop->steer, cm_clock_ms(), name);
+	cm_log(CM_EVENT_PEER_GONE, "peer=%s", name);
+}
+
 static void told_plan(void *user, struct cm_steer_plan *plan)
 {
 	struct cm_registry_loop *loop = user;
@@ -116,6 +135,8 @@
 		.end = told_end,
 		.server = told_server,
 		.server_gone = told_server_gone,
+		.peer = told_peer,
+		.peer_gone = told_peer_gone,
 		.plan = told_plan,
 		.domain_out = told_domain_out,
 		.bad_item = told_bad_item,
@@ -140,6 +161,21 @@
 	pthread_mutex_unlock(&loop->lock);
 }
 
+static void announce(struct cm_registry_loop *loop)
+{
+	uint64_t now_ms = cm_clock_ms();
+	int error;
+
+	if (loop->announced_ms && now_ms < loop->announced_ms + ANNOUNCE_MS)
+		return;
+	error = loop->registry->ops->announce(loop->registry, &loop->self);
+	if (!error)
+		loop->announced_ms = now_ms;
+	else
+		cm_log(CM_EVENT_ANNOUNCE_FAILED, "error=%s",
+		       cm_error_name(error));
+}
+
 static void take_step(struct cm_registry_loop *loop)
 {
 	uint64_t asked_ms = cm_clock_ms();
@@ -152,6 +188,8 @@
 	if (error && error != CM_E_COMPACTED)
 		cm_counters_add(&loop->steer->counters, CM_C_STORE_RETRIES);
 	note_tried(loop);
+	if (!error && !ck_pr_load_32(&loop->stopping))
+		announce(loop);
 	if (!ck_pr_load_32(&loop->stopping))
 		cm_clock_sleep_ms(error ? RETRY_MS : PAUSE_MS);
 }
@@ -185,13 +223,15 @@
 }
 
 int cm_registry_loop_init(struct cm_registry_loop *loop, struct cm_steer *steer,
-			  struct cm_registry *registry, uint32_t wait_ms)
+			  struct cm_registry *registry,
+			  const struct cm_peer_entry *self, uint32_t wait_ms)
 {
 	pthread_condattr_t monotonic;
 
 	memset(loop, 0, sizeof(*loop));
 	loop->steer = steer;
 	loop->registry = registry;
+	loop->self = *self;
 	loop->wait_ms = wait_ms;
 	loop->is_reachable = true;
 	pthread_mutex_init(&loop->lock, NULL);
--- a/src/daemon/registry_loop.h
+++ b/src/daemon/registry_loop.h
@@ -17,7 +17,9 @@
  * struct cm_registry_loop - a registry loop
  * @steer: the node
  * @registry: the registry
+ * @self: entry of this node
  * @wait_ms: longest wait for changes in one call
+ * @announced_ms: when the node's entry was last kept; 0 for never
  * @is_read: all of the registry was read once
  * @is_reachable: the last call was answered
  * @lock: guards @is_tried
@@ -30,7 +32,9 @@
 struct cm_registry_loop {
 	struct cm_steer *steer;
 	struct cm_registry *registry;
+	struct cm_peer_entry self;
 	uint32_t wait_ms;
+	uint64_t announced_ms;
 	bool is_read;
 	bool is_reachable;
 	pthread_mutex_t lock;
@@ -46,12 +50,14 @@
  * @loop: memory of the caller
  * @steer: the node
  * @registry: the registry; used by the thread alone from now on
+ * @self: entry of this node
  * @wait_ms: longest wait for changes in one call
  *
  * Return: 0 or CM_E_MEMORY.
  */
 int cm_registry_loop_init(struct cm_registry_loop *loop, struct cm_steer *steer,
-			  struct cm_registry *registry, uint32_t wait_ms);
+			  struct cm_registry *registry,
+			  const struct cm_peer_entry *self, uint32_t wait_ms);
 
 /**
  * cm_registry_loop_wait_first() - wait until the first call has ended
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -127,9 +127,13 @@
 static int start_feed(struct steer_entry *entry)
 {
 	uint32_t wait_ms = shortest_bound_ms(&entry->settings) / WAIT_PART;
-	int error = cm_registry_loop_init(&entry->feed, &entry->steer,
-					  &entry->registry.base, wait_ms);
+	struct cm_peer_entry self;
+	int error;
 
+	memcpy(self.name, entry->settings.name, sizeof(self.name));
+	memcpy(self.domain, entry->settings.domain, sizeof(self.domain));
+	error = cm_registry_loop_init(&entry->feed, &entry->steer,
+				      &entry->registry.base, &self, wait_ms);
 	if (error)
 		return error;
 	error = start_pages(entry);
--- a/src/ports/registry.h
+++ b/src/ports/registry.h
@@ -7,9 +7,13 @@
 #ifndef PORTS_REGISTRY_H
 #define PORTS_REGISTRY_H
 
+#include "chervilmast/steer_peer.h"
 #include "chervilmast/steer_plan.h"
 #include "chervilmast/steer_server.h"
 
+/** Time that the entry of a node lasts without being kept, ms. */
+#define CM_REGISTRY_ENTRY_MS 10000
+
 struct cm_registry;
 
 /**
@@ -18,6 +22,8 @@
  * @end: all that it held was told
  * @server: entry of a backend server
  * @server_gone: the entry with this id went
+ * @peer: entry of a node of the fleet
+ * @peer_gone: the entry of the node of this name went
  * @plan: a plan; its content is the sink's to finish
  * @domain_out: a failure domain was taken out, or back
  * @bad_item: the item at @key can't be used
@@ -28,6 +34,8 @@
 	void (*end)(void *user);
 	void (*server)(void *user, const struct cm_server_entry *entry);
 	void (*server_gone)(void *user, uint64_t id);
+	void (*peer)(void *user, const struct cm_peer_entry *entry);
+	void (*peer_gone)(void *user, const char *name);
 	void (*plan)(void *user, struct cm_steer_plan *plan);
 	void (*domain_out)(void *user, const char *domain, bool is_out);
 	void (*bad_item)(void *user, const char *key, int error);
@@ -41,6 +49,10 @@
  * @wait: wait up to @wait_ms for changes since the last call and tell them.
  *        Returns 0, also when there were none, CM_E_COMPACTED when all has to
  *        be read anew, or an error of @read.
+ * @announce: enter this node, or keep its entry, which goes by itself
+ *            CM_REGISTRY_ENTRY_MS after the last call. Returns 0,
+ *            CM_E_NOT_FOUND when the entry has gone and the next call enters
+ *            the node anew, or an error of @read.
  * @calls: requests sent so far
  * @interrupt: end the call in progress and all later ones; from any thread
  * @finish: end; the memory stays the caller's
@@ -50,6 +62,8 @@
 		    const struct cm_registry_sink *sink);
 	int (*wait)(struct cm_registry *registry, uint32_t wait_ms,
 		    const struct cm_registry_sink *sink);
+	int (*announce)(struct cm_registry *registry,
+			const struct cm_peer_entry *self);
 	uint64_t (*calls)(const struct cm_registry *registry);
 	void (*interrupt)(struct cm_registry *registry);
 	void (*finish)(struct cm_registry *registry);
--- /dev/null
+++ b/tests/unit/steering.c
@@ -0,0 +1,151 @@
+#include "unit/steering.h"
+
+#include <netinet/in.h>
+#include <stdio.h>
+
+#include "unit/suites.h"
+
+#define TICK_MS 25
+#define CALLER_ADDRESS 0x64400007
+#define SERVER_ADDRESS 0x0a010000
+#define SERVER_PORT 8080
+#define SECOND_DOMAIN_ID 100
+
+const struct cm_endpoint steering_route = { 0xc6120001, 443, IPPROTO_TCP };
+
+struct cm_steer steering;
+uint64_t steering_ms;
+
+void steering_setup(void)
+{
+	const struct cm_steer_config config = {
+		.domain = "a",
+		.flows_max = 64,
+		.flow_life_ms = STEERING_LIFE_MS,
+		.domain_out_ms = STEERING_OUT_MS,
+		.fresh_ms = STEERING_FRESH_MS,
+		.lapse_ms = STEERING_LAPSE_MS,
+	};
+
+	steering_ms = STEERING_START_MS;
+	cm_steer_init(&steering, &config);
+	cm_steer_tick(&steering, steering_ms);
+}
+
+void steering_teardown(void)
+{
+	cm_steer_finish(&steering);
+}
+
+void steering_plan(uint64_t version, uint32_t cold_per_s)
+{
+	const struct cm_steer_route route = {
+		.address = steering_route,
+		.target_count = 1,
+		.targets = { { "ledger", 1 } },
+	};
+	const struct cm_steer_service service = { "ledger", cold_per_s };
+	struct cm_steer_plan plan;
+
+	ASSERT_OK(cm_steer_plan_init(&plan, version, 1, 1));
+	cm_steer_plan_add_route(&plan, &route);
+	cm_steer_plan_add_service(&plan, &service);
+	ASSERT_OK(cm_steer_plan_seal(&plan));
+	ASSERT_OK(cm_steer_set_plan(&steering, &plan));
+}
+
+struct cm_server_entry steering_entry(uint64_t id, const char *domain)
+{
+	struct cm_server_entry entry = {
+		.id = id,
+		.service = "ledger",
+		.address = { SERVER_ADDRESS + (uint32_t)id, SERVER_PORT,
+			     IPPROTO_UDP },
+		.slots = 2,
+	};
+
+	snprintf(entry.domain, sizeof(entry.domain), "%s", domain);
+	return entry;
+}
+
+void steering_add(uint64_t id, const char *domain)
+{
+	struct cm_server_entry entry = steering_entry(id, domain);
+
+	ASSERT_OK(cm_steer_put_server(&steering, steering_ms, &entry));
+}
+
+void steering_ready(uint32_t count)
+{
+	steering_plan(1, 0);
+	for (uint64_t i = 1; i <= count; i++) {
+		steering_add(i, "a");
+		steering_add(SECOND_DOMAIN_ID + i, "b");
+	}
+	cm_steer_heard(&steering, steering_ms);
+}
+
+static struct cm_steer_verdict give(const struct cm_steer_packet *packet)
+{
+	struct cm_steer_verdict verdict;
+
+	cm_steer_packet(&steering, steering_ms, packet, &verdict);
+	return verdict;
+}
+
+static struct cm_steer_packet packet_of(uint16_t port)
+{
+	const struct cm_steer_packet packet = {
+		.key = { { CALLER_ADDRESS, port, IPPROTO_TCP },
+			 steering_route },
+	};
+
+	return packet;
+}
+
+struct cm_steer_verdict steering_syn(uint16_t port, uint32_t repeats)
+{
+	struct cm_steer_packet packet = packet_of(port);
+
+	packet.flags = CM_STEER_SYN;
+	packet.repeats = repeats;
+	return give(&packet);
+}
+
+struct cm_steer_verdict steering_packet(uint16_t port, uint32_t token,
+					uint8_t flags)
+{
+	struct cm_steer_packet packet = packet_of(port);
+
+	packet.flags = flags;
+	packet.token = token;
+	return give(&packet);
+}
+
+uint64_t steering_serve(uint16_t port, uint32_t took_ms)
+{
+	struct cm_steer_verdict verdict = steering_syn(port, 0);
+
+	ck_assert_int_eq(verdict.kind, CM_STEER_FORWARD);
+	steering_packet(port, verdict.token, CM_STEER_ACK);
+	steering_pass(took_ms);
+	steering_packet(port, verdict.token, CM_STEER_ACK | CM_STEER_FIN);
+	return verdict.server_id;
+}
+
+void steering_pass(uint64_t ms)
+{
+	uint64_t end_ms = steering_ms + ms;
+
+	while (steering_ms + TICK_MS < end_ms) {
+		steering_ms += TICK_MS;
+		cm_steer_tick(&steering, steering_ms);
+	}
+	steering_ms = end_ms;
+	cm_steer_tick(&steering, steering_ms);
+}
+
+uint64_t steering_count(enum cm_counter counter)
+{
+	return cm_counters_get(&steering.counters, counter);
+}
--- /dev/null
+++ b/tests/unit/test_steer.c
@@ -0,0 +1,242 @@
+#include "unit/suites.h"
+
+#include "chervilmast/error.h"
+#include "unit/steering.h"
+
+UNIT_CASE("steer", "packets", steering_setup, steering_teardown,
+	  UNIT_TIMEOUT_S);
+
+TEST(later_packets_follow_their_token)
+{
+	struct cm_steer_verdict first, later;
+
+	steering_ready(3);
+	first = steering_syn(1, 0);
+	ck_assert_int_eq(first.kind, CM_STEER_FORWARD);
+	ck_assert_uint_ne(first.token, 0);
+	later = steering_packet(1, first.token, CM_STEER_ACK);
+	ck_assert_int_eq(later.kind, CM_STEER_FORWARD);
+	ck_assert_int_eq(later.reason, CM_C_STEER_BY_TOKEN);
+	ck_assert_uint_eq(later.server_id, first.server_id);
+}
+
+/* Nothing is remembered of the flow here: another node saw its SYN. */
+TEST(token_suffices_on_another_node)
+{
+	uint32_t token = cm_steer_token(2, 0);
+	struct cm_steer_verdict verdict;
+
+	steering_ready(3);
+	verdict = steering_packet(9, token, CM_STEER_ACK);
+	ck_assert_int_eq(verdict.kind, CM_STEER_FORWARD);
+	ck_assert_uint_eq(verdict.server_id, 2);
+}
+
+/* What is dropped in silence, since the flow may live. */
+TEST(unknown_token_is_never_reset)
+{
+	struct cm_steer_verdict verdict;
+
+	steering_ready(1);
+	verdict = steering_packet(1, 0x12345678, CM_STEER_ACK);
+	ck_assert_int_eq(verdict.kind, CM_STEER_DROP);
+	ck_assert_int_eq(verdict.reason, CM_C_STEER_UNKNOWN_TOKEN);
+	verdict = steering_packet(1, 0, CM_STEER_ACK);
+	ck_assert_int_eq(verdict.kind, CM_STEER_DROP);
+	ck_assert_int_eq(verdict.reason, CM_C_STEER_NO_TOKEN);
+}
+
+TEST(no_plan_is_told_at_once)
+{
+	struct cm_steer_verdict verdict = steering_syn(1, 0);
+
+	ck_assert_int_eq(verdict.kind, CM_STEER_RESET);
+	ck_assert_int_eq(verdict.reason, CM_C_STEER_NO_PLAN);
+	ck_assert(!cm_steer_is_ready(&steering, steering_ms));
+}
+
+/* A route that this node has not heard of yet may exist by now. */
+TEST(unknown_route_is_reset_only_while_the_registry_is_fresh)
+{
+	struct cm_steer_packet packet = {
+		.key = { { 1, 1, 6 }, { 0xc6120009, 443, 6 } },
+		.flags = CM_STEER_SYN,
+	};
+	struct cm_steer_verdict verdict;
+
+	steering_ready(1);
+	cm_steer_packet(&steering, steering_ms, &packet, &verdict);
+	ck_assert_int_eq(verdict.kind, CM_STEER_RESET);
+	ck_assert_int_eq(verdict.reason, CM_C_STEER_NO_ROUTE);
+	steering_pass(STEERING_FRESH_MS + 1);
+	cm_steer_packet(&steering, steering_ms, &packet, &verdict);
+	ck_assert_int_eq(verdict.kind, CM_STEER_DROP);
+	ck_assert_int_eq(verdict.reason, CM_C_STEER_STALE);
+}
+
+TEST(plans_never_go_back)
+{
+	struct cm_steer_plan plan;
+
+	steering_plan(7, 0);
+	ASSERT_OK(cm_steer_plan_init(&plan, 7, 0, 0));
+	ck_assert_int_eq(cm_steer_set_plan(&steering, &plan), CM_E_STALE);
+	ASSERT_OK(cm_steer_plan_init(&plan, 6, 0, 0));
+	ck_assert_int_eq(cm_steer_set_plan(&steering, &plan), CM_E_STALE);
+	ck_assert_uint_eq(steering.plan.version, 7);
+}
+
+/* The first SYN was lost on its way or is still on it. */
+TEST(repeated_syn_of_an_open_flow_stays)
+{
+	struct cm_steer_verdict first, again;
+
+	steering_ready(3);
+	first = steering_syn(1, 0);
+	steering_packet(1, first.token, CM_STEER_ACK);
+	steering_pass(200);
+	again = steering_syn(1, 1);
+	ck_assert_uint_eq(again.server_id, first.server_id);
+	ck_assert_int_eq(again.reason, CM_C_STEER_SYN_REPEATED);
+}
+
+TEST(repeated_syn_leaves_a_silent_server)
+{
+	struct cm_steer_verdict first, again;
+
+	steering_ready(3);
+	first = steering_syn(1, 0);
+	steering_pass(200);
+	again = steering_syn(1, 1);
+	ck_assert_int_eq(again.kind, CM_STEER_FORWARD);
+	ck_assert_int_eq(again.reason, CM_C_STEER_PLACED_AGAIN);
+	ck_assert_uint_ne(again.server_id, first.server_id);
+}
+
+/* A node that stood still says nothing of the servers. */
+TEST(pause_makes_no_server_suspected)
+{
+	struct cm_steer_verdict first, again;
+
+	steering_ready(3);
+	first = steering_syn(1, 0);
+	steering_ms += 4000;
+	cm_steer_tick(&steering, steering_ms);
+	ck_assert_uint_eq(steering_count(CM_C_STEER_SYN_UNANSWERED), 0);
+	again = steering_syn(1, 1);
+	ck_assert_uint_eq(again.server_id, first.server_id);
+}
+
+TEST(reused_port_is_a_new_flow)
+{
+	struct cm_steer_verdict first;
+
+	steering_ready(1);
+	first = steering_syn(1, 0);
+	steering_packet(1, first.token, CM_STEER_ACK);
+	ck_assert_int_eq(steering_syn(1, 0).reason, CM_C_STEER_PLACED);
+	ck_assert_uint_eq(steering.flows.count, 1);
+}
+
+TEST(table_of_flows_is_bounded)
+{
+	steering_ready(3);
+	for (uint16_t port = 1; port <= 200; port++)
+		ck_assert_int_eq(steering_syn(port, 0).kind, CM_STEER_FORWARD);
+	ck_assert_uint_eq(steering.flows.count, 64);
+	ck_assert_uint_eq(steering_count(CM_C_STEER_FLOW_FORGOTTEN), 136);
+}
+
+/* Flows stay with a server that drains or has left; new ones go elsewhere. */
+TEST(server_that_leaves_keeps_its_flows)
+{
+	struct cm_server_entry entry = steering_entry(1, "a");
+	struct cm_steer_verdict verdict;
+
+	steering_ready(2);
+	entry.is_draining = true;
+	ASSERT_OK(cm_steer_put_server(&steering, steering_ms, &entry));
+	for (uint16_t port = 1; port <= 20; port++)
+		ck_assert_uint_ne(steering_syn(port, 0).server_id, 1);
+	cm_steer_remove_server(&steering, steering_ms, 1);
+	verdict = steering_packet(30, cm_steer_token(1, 0), CM_STEER_ACK);
+	ck_assert_int_eq(verdict.kind, CM_STEER_FORWARD);
+	ck_assert_uint_eq(verdict.server_id, 1);
+	steering_pass(STEERING_LIFE_MS + 1);
+	verdict = steering_packet(30, cm_steer_token(1, 0), CM_STEER_ACK);
+	ck_assert_int_eq(verdict.kind, CM_STEER_DROP);
+}
+
+/* A new start under the same id is another server. */
+TEST(restarted_server_gets_a_token_of_its_own)
+{
+	struct cm_server_entry entry = steering_entry(1, "a");
+	struct cm_steer_server *known;
+
+	steering_ready(1);
+	entry.born_ms = 1000;
+	ASSERT_OK(cm_steer_put_server(&steering, steering_ms, &entry));
+	known = cm_steer_servers_by_id(&steering.servers, 1);
+	ck_assert_uint_eq(known->token, cm_steer_token(1, 1000));
+	ck_assert_uint_ne(known->token, cm_steer_token(1, 0));
+	known = cm_steer_servers_by_token(&steering.servers,
+					  cm_steer_token(1, 0));
+	ck_assert_int_eq(known->listing, CM_LEFT);
+	entry.born_ms = 999;
+	ck_assert_int_eq(cm_steer_put_server(&steering, steering_ms, &entry),
+			 CM_E_STALE);
+}
+
+/* New flows stop at once, open ones shortly before the bound. */
+TEST(domain_that_is_out_gets_nothing_after_its_bound)
+{
+	uint32_t token = cm_steer_token(1, 0);
+
+	steering_ready(3);
+	ASSERT_OK(cm_steer_set_domain_out(&steering, steering_ms, "a", true));
+	for (uint16_t port = 1; port <= 20; port++)
+		ck_assert_uint_gt(steering_syn(port, 0).server_id, 100);
+	steering_pass(STEERING_OUT_MS - 1);
+	ck_assert_int_eq(steering_packet(30, token, CM_STEER_ACK).kind,
+			 CM_STEER_FORWARD);
+	steering_pass(1);
+	ck_assert_int_eq(steering_packet(30, token, CM_STEER_ACK).reason,
+			 CM_C_DROP_DOMAIN_OUT);
+	ASSERT_OK(cm_steer_set_domain_out(&steering, steering_ms, "a", false));
+	ck_assert_int_eq(steering_packet(30, token, CM_STEER_ACK).kind,
+			 CM_STEER_FORWARD);
+}
+
+TEST(nothing_left_is_refused_at_once)
+{
+	struct cm_steer_verdict verdict;
+
+	steering_ready(1);
+	cm_steer_remove_server(&steering, steering_ms, 1);
+	cm_steer_remove_server(&steering, steering_ms, 101);
+	verdict = steering_syn(1, 0);
+	ck_assert_int_eq(verdict.kind, CM_STEER_RESET);
+	ck_assert_int_eq(verdict.reason, CM_C_STEER_NO_SERVER);
+	ck_assert(!cm_steer_is_ready(&steering, steering_ms));
+}
+
+/* Where two servers share a token, only the one that started first is named. */
+TEST(shared_token_names_the_earlier_server)
+{
+	struct cm_steer_servers servers;
+	struct cm_server_entry early = steering_entry(1, "a");
+	struct cm_server_entry late = steering_entry(2, "a");
+	struct cm_steer_server *first, *second;
+
+	cm_steer_servers_init(&servers);
+	early.born_ms = 10;
+	late.born_ms = 20;
+	ASSERT_OK(cm_steer_servers_put(&servers, &late, 1, &second));
+	ASSERT_OK(cm_steer_servers_put(&servers, &early, 1, &first));
+	ck_assert_ptr_eq(cm_steer_servers_by_token(&servers, first->token),
+			 first);
+	ck_assert_ptr_eq(cm_steer_servers_by_token(&servers, second->token),
+			 second);
+	ck_assert_uint_eq(servers.count, 2);
+	cm_steer_servers_finish(&servers);
+}
--- /dev/null
+++ b/tests/unit/test_steer_choice.c
@@ -0,0 +1,144 @@
+#include "unit/suites.h"
+
+#include <string.h>
+
+#include "unit/steering.h"
+
+#define MOST_PORTS 1000
+
+UNIT_CASE("steer", "choice", steering_setup, steering_teardown, UNIT_TIMEOUT_S);
+
+/* Flows of 40 ms, one each 20 ms; returns how many each id got. */
+static void play(uint32_t flows, uint32_t *got, size_t ids)
+{
+	memset(got, 0, ids * sizeof(*got));
+	for (uint32_t i = 0; i < flows; i++) {
+		uint64_t id =
+			steering_serve((uint16_t)(i % MOST_PORTS + 1), 20);
+
+		ck_assert_uint_lt(id, ids);
+		got[id]++;
+	}
+}
+
+TEST(flows_spread_evenly_over_the_own_domain)
+{
+	uint32_t got[128];
+
+	steering_ready(4);
+	play(400, got, 128);
+	for (int id = 1; id <= 4; id++)
+		ck_assert_uint_eq(got[id], 100);
+}
+
+TEST(silent_server_gets_only_trials)
+{
+	uint32_t silent = 0;
+
+	steering_ready(4);
+	for (uint16_t port = 1; port <= 400; port++) {
+		struct cm_steer_verdict verdict = steering_syn(port, 0);
+
+		if (verdict.server_id == 1) {
+			silent++;
+		} else {
+			steering_packet(port, verdict.token, CM_STEER_ACK);
+			steering_packet(port, verdict.token, CM_STEER_RST);
+		}
+		steering_pass(25);
+	}
+	/* 10 s at most: one flow, and a trial each 400 to 1600 ms. */
+	ck_assert_uint_le(silent, 10);
+	ck_assert_uint_ge(silent, 4);
+}
+
+TEST(one_answer_clears_a_suspected_server)
+{
+	struct cm_steer_server *server;
+	struct cm_steer_verdict verdict;
+
+	steering_ready(1);
+	verdict = steering_syn(1, 0);
+	steering_pass(100);
+	server = cm_steer_servers_by_id(&steering.servers, verdict.server_id);
+	ck_assert(cm_server_health_is_suspected(&server->health));
+	steering_packet(1, verdict.token, CM_STEER_ACK);
+	ck_assert(!cm_server_health_is_suspected(&server->health));
+}
+
+/* A server that works five times as long gets clearly less. */
+TEST(slow_server_gets_less)
+{
+	uint32_t got[128] = { 0 };
+
+	steering_ready(4);
+	for (uint32_t i = 0; i < 400; i++) {
+		uint16_t port = (uint16_t)(i + 1);
+		struct cm_steer_verdict verdict = steering_syn(port, 0);
+
+		steering_packet(port, verdict.token, CM_STEER_ACK);
+		steering_pass(verdict.server_id == 1 ? 200 : 40);
+		steering_packet(port, verdict.token,
+				CM_STEER_ACK | CM_STEER_FIN);
+		got[verdict.server_id]++;
+	}
+	ck_assert_uint_lt(got[1], 30);
+	ck_assert_uint_gt(got[2], 80);
+}
+
+TEST(full_domain_spills_over)
+{
+	uint32_t remote = 0;
+
+	steering_ready(2);
+	for (uint16_t port = 1; port <= 12; port++) {
+		struct cm_steer_verdict verdict = steering_syn(port, 0);
+
+		steering_packet(port, verdict.token, CM_STEER_ACK);
+		remote += verdict.server_id > 100;
+	}
+	ck_assert_uint_ge(remote, 4);
+}
+
+/* The page's bound: cold-per-s, shared between the nodes that may send. */
+TEST(cold_server_gets_no_more_than_its_rate)
+{
+	struct cm_server_entry entry = steering_entry(1, "a");
+	uint32_t got = 0;
+
+	steering_plan(1, 40);
+	entry.cold_left_ms = 10000;
+	ASSERT_OK(cm_steer_put_server(&steering, steering_ms, &entry));
+	cm_steer_heard(&steering, steering_ms);
+	for (uint32_t i = 0; i < 500; i++) {
+		uint16_t port = (uint16_t)(i + 1);
+		struct cm_steer_verdict verdict = steering_syn(port, 0);
+
+		if (verdict.kind == CM_STEER_FORWARD) {
+			got++;
+			steering_packet(port, verdict.token,
+					CM_STEER_ACK | CM_STEER_FIN);
+		}
+		steering_pass(2);
+	}
+	ck_assert_uint_le(got, 40);
+	ck_assert_uint_gt(got, 5);
+}
+
+TEST(route_is_split_by_weight)
+{
+	const struct cm_steer_route route = {
+		.target_count = 3,
+		.targets = { { "x", 90 }, { "y", 0 }, { "z", 10 } },
+	};
+	uint32_t x = 0, z = 0;
+
+	for (uint64_t hash = 0; hash < 1000; hash++) {
+		const char *service = cm_steer_route_service(&route, hash);
+
+		x += !strcmp(service, "x");
+		z += !strcmp(service, "z");
+	}
+	ck_assert_uint_eq(x, 900);
+	ck_assert_uint_eq(z, 100);
+}
--- /dev/null
+++ b/tests/unit/test_steer_outage.c
@@ -0,0 +1,126 @@
+#include "unit/suites.h"
+
+#include "unit/steering.h"
+
+UNIT_CASE("steer", "outages", steering_setup, steering_teardown,
+	  UNIT_TIMEOUT_S);
+
+/* Entries run out while the store is away; their servers live on. */
+TEST(lapsed_servers_are_used_until_they_had_time_to_return)
+{
+	steering_ready(1);
+	cm_steer_lost(&steering);
+	steering_pass(5000);
+	cm_steer_snapshot_begin(&steering);
+	cm_steer_snapshot_end(&steering, steering_ms);
+	cm_steer_heard(&steering, steering_ms);
+	ck_assert_int_eq(steering_syn(1, 0).kind, CM_STEER_FORWARD);
+	steering_pass(STEERING_LAPSE_MS - 1);
+	ck_assert_int_eq(steering_syn(2, 0).kind, CM_STEER_FORWARD);
+	steering_pass(1);
+	ck_assert_int_eq(steering_syn(3, 0).kind, CM_STEER_RESET);
+}
+
+TEST(returned_entry_is_listed_again)
+{
+	steering_ready(1);
+	cm_steer_lost(&steering);
+	cm_steer_remove_server(&steering, steering_ms, 1);
+	cm_steer_heard(&steering, steering_ms);
+	steering_add(1, "a");
+	steering_pass(STEERING_LAPSE_MS + 1);
+	cm_steer_heard(&steering, steering_ms);
+	ck_assert_uint_eq(steering_syn(1, 0).server_id, 1);
+}
+
+/* A server that said it was leaving does not come back. */
+TEST(draining_server_that_lapsed_has_left)
+{
+	struct cm_server_entry entry = steering_entry(1, "a");
+
+	steering_ready(1);
+	entry.is_draining = true;
+	ASSERT_OK(cm_steer_put_server(&steering, steering_ms, &entry));
+	cm_steer_lost(&steering);
+	cm_steer_remove_server(&steering, steering_ms, 1);
+	ck_assert_uint_eq(steering_syn(1, 0).server_id, 101);
+}
+
+/* While the store answers, an entry that goes is a server that has gone. */
+TEST(entry_that_goes_in_calm_is_gone_at_once)
+{
+	steering_ready(1);
+	cm_steer_remove_server(&steering, steering_ms, 1);
+	for (uint16_t port = 1; port <= 10; port++)
+		ck_assert_uint_eq(steering_syn(port, 0).server_id, 101);
+}
+
+/* The last known state serves on for as long as the store is away. */
+TEST(outage_of_the_store_refuses_nothing_known)
+{
+	steering_ready(2);
+	cm_steer_lost(&steering);
+	steering_pass(60000);
+	ck_assert_int_eq(steering_syn(1, 0).kind, CM_STEER_FORWARD);
+	ck_assert(cm_steer_is_ready(&steering, steering_ms));
+}
+
+TEST(snapshot_takes_domains_back)
+{
+	steering_ready(1);
+	ASSERT_OK(cm_steer_set_domain_out(&steering, steering_ms, "a", true));
+	cm_steer_snapshot_begin(&steering);
+	steering_add(1, "a");
+	steering_add(101, "b");
+	cm_steer_snapshot_end(&steering, steering_ms);
+	ck_assert_uint_eq(steering.out_count, 0);
+}
+
+/* Four SYNs without any answer: the fabric has to go elsewhere. */
+TEST(node_that_no_server_answers_is_not_ready)
+{
+	struct cm_endpoint address;
+
+	steering_ready(5);
+	for (uint16_t port = 1; port <= 4; port++) {
+		ck_assert(
+			!cm_steer_unreached(&steering, steering_ms, &address));
+		steering_syn(port, 0);
+		steering_pass(30);
+	}
+	steering_pass(100);
+	ck_assert(!cm_steer_is_ready(&steering, steering_ms));
+	ck_assert(cm_steer_unreached(&steering, steering_ms, &address));
+	cm_steer_reached(&steering);
+	ck_assert(cm_steer_is_ready(&steering, steering_ms));
+	ck_assert(!cm_steer_unreached(&steering, steering_ms, &address));
+}
+
+/* One silent server among others cuts nobody off. */
+TEST(any_answer_keeps_the_node_ready)
+{
+	struct cm_steer_verdict verdict;
+
+	steering_ready(5);
+	for (uint16_t port = 1; port <= 20; port++) {
+		verdict = steering_syn(port, 0);
+		if (port % 4 == 0)
+			steering_packet(port, verdict.token, CM_STEER_ACK);
+		steering_pass(100);
+		ck_assert(cm_steer_is_ready(&steering, steering_ms));
+	}
+}
+
+/* Servers are tried in turn: the first may be the one that is gone. */
+TEST(cut_off_node_tries_one_server_after_another)
+{
+	struct cm_endpoint first, second;
+
+	steering_ready(3);
+	for (uint16_t port = 1; port <= 4; port++)
+		steering_syn(port, 0);
+	steering_pass(200);
+	ck_assert(cm_steer_unreached(&steering, steering_ms, &first));
+	ck_assert(cm_steer_unreached(&steering, steering_ms, &second));
+	ck_assert(!cm_endpoint_equal(&first, &second));
+}
