--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -191,6 +191,10 @@
 	  "servers that seem to be silent")                                      \
 	X(STEER_CLEARED, "steer_cleared",                                        \
 	  "suspected servers that answer again")                                 \
+	X(FEED_ASKED, "feed_asked",                                              \
+	  "questions to the instance that is asked about the registry")          \
+	X(FEED_NOT_ASKED, "feed_not_asked",                                      \
+	  "of these, questions that could not be sent")                          \
 	X(REGISTRY_BAD_ITEM, "registry_bad_item",                                \
 	  "items of the registry that could not be used")                        \
 	X(REGISTRY_SNAPSHOTS, "registry_snapshots",                              \
--- a/include/chervilmast/message.h
+++ b/include/chervilmast/message.h
@@ -8,6 +8,7 @@
 #ifndef CHERVILMAST_MESSAGE_H
 #define CHERVILMAST_MESSAGE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "chervilmast/member.h"
@@ -27,6 +28,8 @@
  * @CM_MESSAGE_NOTES: release notes
  * @CM_MESSAGE_STATUS_REQUEST: asks for the state of the receiver
  * @CM_MESSAGE_STATUS: state of the sender
+ * @CM_MESSAGE_ITEMS_REQUEST: asks for changes of the registry
+ * @CM_MESSAGE_ITEMS: changes of the registry
  */
 enum cm_message_kind {
 	CM_MESSAGE_HEARTBEAT = 1,
@@ -37,6 +40,8 @@
 	CM_MESSAGE_NOTES,
 	CM_MESSAGE_STATUS_REQUEST,
 	CM_MESSAGE_STATUS,
+	CM_MESSAGE_ITEMS_REQUEST,
+	CM_MESSAGE_ITEMS,
 	CM_MESSAGE_KIND_END
 };
 
@@ -187,6 +192,46 @@
 	uint32_t server_count;
 };
 
+/**
+ * struct cm_message_items_request - body of ITEMS_REQUEST
+ * @after: revision up to which the sender knows the registry; 0 for nothing
+ */
+struct cm_message_items_request {
+	uint64_t after;
+};
+
+/**
+ * struct cm_message_item - an item of the registry
+ * @key: its key, NUL-terminated; owned
+ * @value: its value; owned; NULL when it went
+ * @size: bytes of @value
+ * @revision: revision of the registry at its last change
+ * @is_gone: it went
+ */
+struct cm_message_item {
+	char *key;
+	char *value;
+	size_t size;
+	uint64_t revision;
+	bool is_gone;
+};
+
+/**
+ * struct cm_message_items - body of ITEMS
+ * @revision: revision up to which the sender knows the registry; 0 for nothing
+ * @age_ms: time since the sender last heard of the registry
+ * @is_all: the items are all that there are, not only what changed
+ * @items: the items; owned
+ * @count: number of @items
+ */
+struct cm_message_items {
+	uint64_t revision;
+	uint64_t age_ms;
+	bool is_all;
+	struct cm_message_item *items;
+	uint32_t count;
+};
+
 /**
  * struct cm_message - a message
  * @kind: what it is
@@ -200,6 +245,8 @@
  * @notes_request: body of NOTES_REQUEST
  * @notes: body of NOTES
  * @status: body of STATUS
+ * @items_request: body of ITEMS_REQUEST
+ * @items: body of ITEMS
  */
 struct cm_message {
 	enum cm_message_kind kind;
@@ -214,6 +261,8 @@
 		struct cm_message_notes_request notes_request;
 		struct cm_message_notes notes;
 		struct cm_message_status status;
+		struct cm_message_items_request items_request;
+		struct cm_message_items items;
 	};
 };
 
@@ -289,6 +338,28 @@
 int cm_message_servers_reserve(struct cm_message_status *status,
 			       uint32_t count);
 
+/**
+ * cm_message_items_reserve() - make room for items, all empty
+ * @items: an empty array
+ * @count: how many
+ *
+ * Return: 0, CM_E_MEMORY, or CM_E_TOO_LARGE above CM_MESSAGE_ITEMS_MAX.
+ */
+int cm_message_items_reserve(struct cm_message_items *items, uint32_t count);
+
+/**
+ * cm_message_item_set() - copy an item
+ * @item: an empty item; its revision and @is_gone stay as they are
+ * @key: its key
+ * @key_size: bytes of @key
+ * @value: its value, or NULL
+ * @size: bytes of @value
+ *
+ * Return: 0, CM_E_MEMORY or CM_E_TOO_LARGE.
+ */
+int cm_message_item_set(struct cm_message_item *item, const char *key,
+			size_t key_size, const char *value, size_t size);
+
 /**
  * cm_message_kind_name() - stable name of a kind, for logs
  * @kind: the kind
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -17,6 +17,7 @@
 #include <stdint.h>
 
 #include "chervilmast/counter.h"
+#include "chervilmast/feed_source.h"
 #include "chervilmast/steer_flow.h"
 #include "chervilmast/steer_peer.h"
 #include "chervilmast/steer_plan.h"
@@ -110,12 +111,10 @@
  * struct cm_domain_out - a failure domain that was taken out
  * @name: its name
  * @since_ms: when this node heard of it
- * @is_seen: the present snapshot of the registry has it
  */
 struct cm_domain_out {
 	char name[CM_NAME_SIZE];
 	uint64_t since_ms;
-	bool is_seen;
 };
 
 /**
@@ -261,10 +260,18 @@
 /**
  * cm_steer_heard() - the registry answered
  * @steer: the node
- * @now_ms: when it was asked
+ * @now_ms: when what it said was so
  */
 void cm_steer_heard(struct cm_steer *steer, uint64_t now_ms);
 
+/**
+ * cm_steer_heard_ms() - when the registry was last heard of
+ * @steer: the node
+ *
+ * Return: the time, ms; 0 for never.
+ */
+uint64_t cm_steer_heard_ms(struct cm_steer *steer);
+
 /**
  * cm_steer_lost() - the registry did not answer
  * @steer: the node
@@ -272,19 +279,28 @@
 void cm_steer_lost(struct cm_steer *steer);
 
 /**
- * cm_steer_snapshot_begin() - all that the registry holds is about to be told
+ * cm_steer_source() - the node of the own failure domain to ask first
  * @steer: the node
+ * @self: name of this node
+ * @now_ms: current time
+ * @feed: nodes that it passes over
+ * @source: set to the node's entry
+ *
+ * All nodes of a failure domain that know the same nodes name the same one.
+ *
+ * Return: false when it is this node, or when none is known.
  */
-void cm_steer_snapshot_begin(struct cm_steer *steer);
+bool cm_steer_source(struct cm_steer *steer, const char *self, uint64_t now_ms,
+		     const struct cm_feed_source *feed,
+		     struct cm_peer_entry *source);
 
 /**
- * cm_steer_snapshot_end() - all that the registry holds was told
+ * cm_steer_peers_near() - number of nodes in the own failure domain
  * @steer: the node
- * @now_ms: current time
  *
- * What was not told since cm_steer_snapshot_begin() is gone.
+ * Return: the number, this node included once the registry told of it.
  */
-void cm_steer_snapshot_end(struct cm_steer *steer, uint64_t now_ms);
+uint32_t cm_steer_peers_near(struct cm_steer *steer);
 
 /**
  * cm_steer_leave() - begin a graceful shutdown
--- a/include/chervilmast/steer_peer.h
+++ b/include/chervilmast/steer_peer.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
+#include "chervilmast/flow_key.h"
 #include "chervilmast/note.h"
 
 /** Most nodes that are remembered. */
@@ -21,22 +22,22 @@
  * struct cm_peer_entry - what the registry says of a node
  * @name: its name
  * @domain: its failure domain
+ * @control: where it answers other nodes
  */
 struct cm_peer_entry {
 	char name[CM_NAME_SIZE];
 	char domain[CM_NAME_SIZE];
+	struct cm_endpoint control;
 };
 
 /**
  * struct cm_steer_peer - a node
  * @entry: what the registry said last
- * @is_seen: the present snapshot of the registry has it
  * @is_lapsed: its entry went while the registry could not be reached
  * @link: link in the list of all
  */
 struct cm_steer_peer {
 	struct cm_peer_entry entry;
-	bool is_seen;
 	bool is_lapsed;
 	TAILQ_ENTRY(cm_steer_peer) link;
 };
--- a/include/chervilmast/steer_server.h
+++ b/include/chervilmast/steer_server.h
@@ -66,7 +66,6 @@
  * @open: its flows that this node saw opening and not yet ending
  * @chosen: number of the choice that took it last
  * @health: what this node saw of it
- * @is_seen: the present snapshot of the registry has it
  * @by_token: link in the bucket of its token
  * @by_id: link in the bucket of its id
  * @link: link in the list of all
@@ -82,7 +81,6 @@
 	uint32_t open;
 	uint64_t chosen;
 	struct cm_server_health health;
-	bool is_seen;
 	LIST_ENTRY(cm_steer_server) by_token;
 	LIST_ENTRY(cm_steer_server) by_id;
 	TAILQ_ENTRY(cm_steer_server) link;
--- a/src/adapters/message_internal.h
+++ b/src/adapters/message_internal.h
@@ -13,5 +13,8 @@
 #define CM_NOTES_FIELDS 2
 #define CM_STATUS_FIELDS 5
 #define CM_SERVER_FIELDS 5
+#define CM_ITEMS_REQUEST_FIELDS 1
+#define CM_ITEMS_FIELDS 4
+#define CM_ITEM_FIELDS 4
 
 #endif
--- a/src/adapters/message_msgpack.c
+++ b/src/adapters/message_msgpack.c
@@ -158,6 +158,34 @@
 	}
 }
 
+static void put_items_request(msgpack_packer *packer,
+			      const struct cm_message *message)
+{
+	msgpack_pack_array(packer, CM_ITEMS_REQUEST_FIELDS);
+	msgpack_pack_uint64(packer, message->items_request.after);
+}
+
+static void put_items(msgpack_packer *packer, const struct cm_message *message)
+{
+	const struct cm_message_items *body = &message->items;
+
+	msgpack_pack_array(packer, CM_ITEMS_FIELDS);
+	msgpack_pack_uint64(packer, body->revision);
+	msgpack_pack_uint64(packer, body->age_ms);
+	msgpack_pack_uint64(packer, body->is_all);
+	msgpack_pack_array(packer, body->count);
+	for (uint32_t i = 0; i < body->count; i++) {
+		const struct cm_message_item *item = &body->items[i];
+
+		msgpack_pack_array(packer, CM_ITEM_FIELDS);
+		msgpack_pack_bin_with_body(packer, item->key,
+					   strlen(item->key));
+		msgpack_pack_bin_with_body(packer, item->value, item->size);
+		msgpack_pack_uint64(packer, item->revision);
+		msgpack_pack_uint64(packer, item->is_gone);
+	}
+}
+
 typedef void put_body_function(msgpack_packer *packer,
 			       const struct cm_message *message);
 
@@ -170,6 +198,8 @@
 	[CM_MESSAGE_NOTES] = put_notes,
 	[CM_MESSAGE_STATUS_REQUEST] = put_status_request,
 	[CM_MESSAGE_STATUS] = put_status,
+	[CM_MESSAGE_ITEMS_REQUEST] = put_items_request,
+	[CM_MESSAGE_ITEMS] = put_items,
 };
 
 int cm_message_write(const struct cm_message *message, char **bytes,
--- a/src/adapters/message_read.c
+++ b/src/adapters/message_read.c
@@ -315,6 +315,53 @@
 		get_server(&list, &body->servers[i]);
 }
 
+static void get_items_request(struct reader *outer, struct cm_message *message)
+{
+	struct reader reader = get_struct(outer, CM_ITEMS_REQUEST_FIELDS);
+
+	message->items_request.after = get_number(&reader, UINT64_MAX);
+}
+
+static void get_item(struct reader *list, struct cm_message_item *item)
+{
+	struct reader reader = get_struct(list, CM_ITEM_FIELDS);
+	const msgpack_object *key = next(&reader, MSGPACK_OBJECT_BIN);
+	const msgpack_object *value = next(&reader, MSGPACK_OBJECT_BIN);
+	int error;
+
+	item->revision = get_number(&reader, UINT64_MAX);
+	item->is_gone = get_number(&reader, 1);
+	if (*reader.error)
+		return;
+	error = cm_message_item_set(item, key->via.bin.ptr, key->via.bin.size,
+				    item->is_gone ? NULL : value->via.bin.ptr,
+				    value->via.bin.size);
+	if (error)
+		fail(&reader, error);
+	else if (strlen(item->key) != key->via.bin.size)
+		fail(&reader, CM_E_BAD_NAME);
+}
+
+static void get_items(struct reader *outer, struct cm_message *message)
+{
+	struct cm_message_items *body = &message->items;
+	struct reader reader = get_struct(outer, CM_ITEMS_FIELDS);
+	struct reader list;
+	int error;
+
+	body->revision = get_number(&reader, UINT64_MAX);
+	body->age_ms = get_number(&reader, UINT64_MAX);
+	body->is_all = get_number(&reader, 1);
+	list = get_array(&reader, CM_MESSAGE_ITEMS_MAX);
+	if (*reader.error)
+		return;
+	error = cm_message_items_reserve(body, list.left);
+	if (error)
+		fail(&reader, error);
+	for (uint32_t i = 0; i < body->count && !*reader.error; i++)
+		get_item(&list, &body->items[i]);
+}
+
 typedef void get_body_function(struct reader *reader,
 			       struct cm_message *message);
 
@@ -327,6 +374,8 @@
 	[CM_MESSAGE_NOTES] = get_notes,
 	[CM_MESSAGE_STATUS_REQUEST] = get_status_request,
 	[CM_MESSAGE_STATUS] = get_status,
+	[CM_MESSAGE_ITEMS_REQUEST] = get_items_request,
+	[CM_MESSAGE_ITEMS] = get_items,
 };
 
 static int get_message(struct cm_message *message, const msgpack_object *object)
--- a/src/config/steer_settings.h
+++ b/src/config/steer_settings.h
@@ -9,6 +9,9 @@
 
 #include "settings.h"
 
+/** Most instances that settings may name. */
+#define CM_STEER_SEEDS_MAX 16
+
 /**
  * struct cm_steer_settings - settings of an instance that steers by token
  * @name: name of the instance
@@ -16,6 +19,9 @@
  * @packets: where it takes packets
  * @ready: where it says whether it is ready
  * @metrics: where it serves metrics
+ * @control: where it answers other instances
+ * @seeds: where some other instances answer, to ask while nothing is known
+ * @seed_count: number of @seeds
  * @store_url: URL of the platform's store
  * @store_timeout_ms: longest wait for one answer of the store
  * @server_leave_ms: time after which a leaving server may get no new flow
@@ -36,6 +42,9 @@
 	struct cm_endpoint packets;
 	struct cm_endpoint ready;
 	struct cm_endpoint metrics;
+	struct cm_endpoint control;
+	struct cm_endpoint seeds[CM_STEER_SEEDS_MAX];
+	size_t seed_count;
 	char store_url[CM_TEXT_SIZE];
 	uint32_t store_timeout_ms;
 	uint32_t server_leave_ms;
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -14,6 +14,8 @@
 	[CM_MESSAGE_NOTES] = "notes",
 	[CM_MESSAGE_STATUS_REQUEST] = "status-request",
 	[CM_MESSAGE_STATUS] = "status",
+	[CM_MESSAGE_ITEMS_REQUEST] = "items-request",
+	[CM_MESSAGE_ITEMS] = "items",
 };
 
 void cm_message_init(struct cm_message *message, enum cm_message_kind kind)
@@ -29,6 +31,15 @@
 	free(notes->items);
 }
 
+static void items_finish(struct cm_message_items *items)
+{
+	for (uint32_t i = 0; i < items->count; i++) {
+		free(items->items[i].key);
+		free(items->items[i].value);
+	}
+	free(items->items);
+}
+
 void cm_message_finish(struct cm_message *message)
 {
 	switch (message->kind) {
@@ -50,8 +61,12 @@
 		free(message->status.members.items);
 		free(message->status.servers);
 		break;
+	case CM_MESSAGE_ITEMS:
+		items_finish(&message->items);
+		break;
 	case CM_MESSAGE_NOTES_REQUEST:
 	case CM_MESSAGE_STATUS_REQUEST:
+	case CM_MESSAGE_ITEMS_REQUEST:
 	case CM_MESSAGE_KIND_END:
 		break;
 	}
@@ -97,21 +112,52 @@
 		       sizeof(*notes->items));
 }
 
+/* A copy with a NUL after its last byte. */
+static char *copy_bytes(const void *bytes, size_t size)
+{
+	char *copy = malloc(size + 1);
+
+	if (!copy)
+		return NULL;
+	if (size)
+		memcpy(copy, bytes, size);
+	copy[size] = '\0';
+	return copy;
+}
+
 int cm_message_note_set(struct cm_message_note *note, const void *bytes,
 			size_t size)
 {
 	if (size > CM_MESSAGE_NOTE_MAX)
 		return CM_E_TOO_LARGE;
-	note->bytes = malloc(size + 1);
+	note->bytes = (uint8_t *)copy_bytes(bytes, size);
 	if (!note->bytes)
 		return CM_E_MEMORY;
-	if (size)
-		memcpy(note->bytes, bytes, size);
-	note->bytes[size] = '\0';
 	note->size = size;
 	return CM_OK;
 }
 
+int cm_message_items_reserve(struct cm_message_items *items, uint32_t count)
+{
+	return reserve(&items->items, &items->count, count,
+		       sizeof(*items->items));
+}
+
+int cm_message_item_set(struct cm_message_item *item, const char *key,
+			size_t key_size, const char *value, size_t size)
+{
+	if (size > CM_MESSAGE_NOTE_MAX || key_size > CM_MESSAGE_NOTE_MAX)
+		return CM_E_TOO_LARGE;
+	item->key = copy_bytes(key, key_size);
+	if (!item->key)
+		return CM_E_MEMORY;
+	if (!value)
+		return CM_OK;
+	item->value = copy_bytes(value, size);
+	item->size = size;
+	return item->value ? CM_OK : CM_E_MEMORY;
+}
+
 int cm_message_servers_reserve(struct cm_message_status *status, uint32_t count)
 {
 	return reserve(&status->servers, &status->server_count, count,
--- a/src/core/steer_peer.c
+++ b/src/core/steer_peer.c
@@ -13,8 +13,15 @@
 
 void cm_steer_peers_finish(struct cm_steer_peers *peers)
 {
-	while (!TAILQ_EMPTY(&peers->all))
-		cm_steer_peers_remove(peers, TAILQ_FIRST(&peers->all));
+	struct cm_steer_peer *peer = TAILQ_FIRST(&peers->all);
+
+	while (peer) {
+		struct cm_steer_peer *next = TAILQ_NEXT(peer, link);
+
+		free(peer);
+		peer = next;
+	}
+	cm_steer_peers_init(peers);
 }
 
 struct cm_steer_peer *cm_steer_peers_find(const struct cm_steer_peers *peers,
@@ -43,7 +50,6 @@
 		peers->count++;
 	}
 	peer->entry = *entry;
-	peer->is_seen = true;
 	peer->is_lapsed = false;
 	return CM_OK;
 }
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -129,19 +129,6 @@
 	}
 }
 
-static void forget_unseen_peers(struct cm_steer *steer, uint64_t now_ms)
-{
-	struct cm_steer_peer *peer = TAILQ_FIRST(&steer->peers.all);
-
-	while (peer) {
-		struct cm_steer_peer *next = TAILQ_NEXT(peer, link);
-
-		if (!peer->is_seen)
-			peer_gone(steer, peer, now_ms);
-		peer = next;
-	}
-}
-
 static void remove_domain_out(struct cm_steer *steer, struct cm_domain_out *out)
 {
 	*out = steer->out[--steer->out_count];
@@ -158,7 +145,6 @@
 	out = &steer->out[steer->out_count++];
 	memcpy(out->name, domain, strlen(domain) + 1);
 	out->since_ms = now_ms;
-	out->is_seen = true;
 	return CM_OK;
 }
 
@@ -171,9 +157,8 @@
 	pthread_mutex_lock(&steer->lock);
 	out = cm_steer_domain_out(steer, domain);
 	if (out)
-		out->is_seen = true;
-	if (out && !is_out)
-		remove_domain_out(steer, out);
+		if (out && !is_out)
+			remove_domain_out(steer, out);
 	if (!out && is_out)
 		error = add_domain_out(steer, now_ms, domain);
 	pthread_mutex_unlock(&steer->lock);
@@ -186,10 +171,21 @@
 	if (steer->is_away)
 		steer->returned_ms = now_ms;
 	steer->is_away = false;
-	steer->heard_ms = now_ms;
+	if (now_ms > steer->heard_ms)
+		steer->heard_ms = now_ms;
 	pthread_mutex_unlock(&steer->lock);
 }
 
+uint64_t cm_steer_heard_ms(struct cm_steer *steer)
+{
+	uint64_t heard_ms;
+
+	pthread_mutex_lock(&steer->lock);
+	heard_ms = steer->heard_ms;
+	pthread_mutex_unlock(&steer->lock);
+	return heard_ms;
+}
+
 void cm_steer_lost(struct cm_steer *steer)
 {
 	pthread_mutex_lock(&steer->lock);
@@ -197,32 +193,35 @@
 	pthread_mutex_unlock(&steer->lock);
 }
 
-void cm_steer_snapshot_begin(struct cm_steer *steer)
+bool cm_steer_source(struct cm_steer *steer, const char *self, uint64_t now_ms,
+		     const struct cm_feed_source *feed,
+		     struct cm_peer_entry *source)
 {
-	struct cm_steer_server *server;
-	struct cm_steer_peer *peer;
+	const struct cm_steer_peer *peer, *first = NULL;
+	bool found;
 
 	pthread_mutex_lock(&steer->lock);
-	TAILQ_FOREACH (server, &steer->servers.all, link)
-		server->is_seen = false;
-	TAILQ_FOREACH (peer, &steer->peers.all, link)
-		peer->is_seen = false;
-	for (uint32_t i = 0; i < steer->out_count; i++)
-		steer->out[i].is_seen = false;
+	TAILQ_FOREACH (peer, &steer->peers.all, link) {
+		if (peer->is_lapsed ||
+		    strcmp(peer->entry.domain, steer->config.domain) != 0 ||
+		    cm_feed_source_is_passed(feed, peer->entry.name, now_ms))
+			continue;
+		if (!first || strcmp(peer->entry.name, first->entry.name) < 0)
+			first = peer;
+	}
+	found = first && strcmp(first->entry.name, self) != 0;
+	if (found)
+		*source = first->entry;
 	pthread_mutex_unlock(&steer->lock);
+	return found;
 }
 
-void cm_steer_snapshot_end(struct cm_steer *steer, uint64_t now_ms)
+uint32_t cm_steer_peers_near(struct cm_steer *steer)
 {
-	struct cm_steer_server *server;
+	uint32_t count;
 
 	pthread_mutex_lock(&steer->lock);
-	TAILQ_FOREACH (server, &steer->servers.all, link)
-		if (!server->is_seen && server->listing != CM_LEFT)
-			server_gone(steer, server, now_ms);
-	forget_unseen_peers(steer, now_ms);
-	for (uint32_t i = steer->out_count; i > 0; i--)
-		if (!steer->out[i - 1].is_seen)
-			remove_domain_out(steer, &steer->out[i - 1]);
+	count = cm_steer_peers_in(&steer->peers, steer->config.domain);
 	pthread_mutex_unlock(&steer->lock);
+	return count;
 }
--- a/src/core/steer_server.c
+++ b/src/core/steer_server.c
@@ -139,7 +139,6 @@
 		cm_steer_server_set_listing(known, CM_LEFT, now_ms);
 	latest->entry = *entry;
 	latest->cold_until_ms = now_ms + entry->cold_left_ms;
-	latest->is_seen = true;
 	cm_steer_server_set_listing(latest, CM_LISTED, now_ms);
 	if (server)
 		*server = latest;
--- /dev/null
+++ b/src/daemon/feed.h
@@ -0,0 +1,108 @@
+/**
+ * DOC: What an instance that steers by token hears of the registry
+ *
+ * Keeps a copy of the registry, whether its items come from the registry itself
+ * or from another instance, gives what they mean to the node, and answers other
+ * instances from the copy.
+ */
+#ifndef DAEMON_FEED_H
+#define DAEMON_FEED_H
+
+#include <pthread.h>
+
+#include "chervilmast/feed_source.h"
+#include "chervilmast/message.h"
+#include "chervilmast/steer.h"
+#include "ports/registry.h"
+
+/**
+ * struct cm_feed - what an instance hears of the registry
+ * @steer: the node
+ * @ops: what the registry's items mean
+ * @lock: guards all below
+ * @log: copy of the registry
+ * @source: what was made of the instance that is asked
+ * @swept_ms: when the copy was last swept
+ */
+struct cm_feed {
+	struct cm_steer *steer;
+	const struct cm_registry_ops *ops;
+	pthread_mutex_t lock;
+	struct cm_item_log log;
+	struct cm_feed_source source;
+	uint64_t swept_ms;
+};
+
+/**
+ * cm_feed_init() - begin with an empty copy
+ * @feed: memory of the caller
+ * @steer: the node
+ * @ops: what the registry's items mean
+ * @age_max_ms: oldest word of another instance that will do
+ */
+void cm_feed_init(struct cm_feed *feed, struct cm_steer *steer,
+		  const struct cm_registry_ops *ops, uint64_t age_max_ms);
+
+/**
+ * cm_feed_finish() - free the copy
+ * @feed: the feed; its memory stays the caller's
+ */
+void cm_feed_finish(struct cm_feed *feed);
+
+/**
+ * cm_feed_revision() - revision up to which the registry is known
+ * @feed: the feed
+ *
+ * Return: the revision; 0 while nothing is known.
+ */
+uint64_t cm_feed_revision(struct cm_feed *feed);
+
+/**
+ * cm_feed_begin() - all items of the registry are about to be told
+ * @feed: the feed
+ */
+void cm_feed_begin(struct cm_feed *feed);
+
+/**
+ * cm_feed_sink() - takes what the registry tells
+ * @feed: the feed
+ * @is_all: it tells all of its items
+ *
+ * Return: the functions to call.
+ */
+struct cm_registry_sink cm_feed_sink(struct cm_feed *feed, bool is_all);
+
+/**
+ * cm_feed_source() - the instance to ask in place of the registry
+ * @feed: the feed
+ * @self: name of this instance
+ * @now_ms: current time
+ * @source: set to the instance, which then counts as asked
+ *
+ * Return: false when the registry is to be asked.
+ */
+bool cm_feed_source(struct cm_feed *feed, const char *self, uint64_t now_ms,
+		    struct cm_peer_entry *source);
+
+/**
+ * cm_feed_take() - take what another instance answered
+ * @feed: the feed
+ * @now_ms: current time
+ * @items: its answer
+ */
+void cm_feed_take(struct cm_feed *feed, uint64_t now_ms,
+		  const struct cm_message_items *items);
+
+/**
+ * cm_feed_answer() - answer another instance
+ * @feed: the feed
+ * @now_ms: current time
+ * @after: revision up to which it knows the registry
+ * @items: an empty array; set
+ *
+ * Return: 0, CM_E_MEMORY or CM_E_TOO_LARGE.
+ */
+int cm_feed_answer(struct cm_feed *feed, uint64_t now_ms, uint64_t after,
+		   struct cm_message_items *items);
+
+#endif
--- a/src/daemon/registry_loop.h
+++ b/src/daemon/registry_loop.h
@@ -1,63 +1,62 @@
 /**
  * DOC: Registry loop of an instance that steers by token
  *
- * A thread that reads the registry once and then waits for its changes, and
- * gives all of it to the node. Each wait is short, so that a connection that
- * fell silent is noticed before what the node knows is too old.
+ * A thread that keeps the feed up to date: it asks the instance of its failure
+ * domain that is the source, or the registry itself. Each wait is short, so
+ * that a connection that fell silent is noticed before what the node knows is
+ * too old.
  */
 #ifndef DAEMON_REGISTRY_LOOP_H
 #define DAEMON_REGISTRY_LOOP_H
 
 #include <pthread.h>
 
-#include "chervilmast/steer.h"
-#include "ports/registry.h"
+#include "config/steer_settings.h"
+#include "feed.h"
+#include "peer_loop.h"
 
 /**
  * struct cm_registry_loop - a registry loop
- * @steer: the node
+ * @feed: what is heard of the registry
+ * @peers: messages to other instances
  * @registry: the registry
- * @self: entry of this node
+ * @settings: settings of the process
  * @wait_ms: longest wait for changes in one call
  * @announced_ms: when the node's entry was last kept; 0 for never
- * @is_read: all of the registry was read once
- * @is_reachable: the last call was answered
+ * @is_reachable: the last call to the registry was answered
+ * @next_seed: number of the seed to ask next
+ * @counted: calls that were counted so far
  * @lock: guards @is_tried
  * @tried: signalled when @is_tried is set
  * @is_tried: the first call has ended
- * @counted: calls that were counted so far
  * @stopping: set to stop the thread
  * @thread: the thread
  */
 struct cm_registry_loop {
-	struct cm_steer *steer;
+	struct cm_feed *feed;
+	struct cm_peer_loop *peers;
 	struct cm_registry *registry;
-	struct cm_peer_entry self;
+	const struct cm_steer_settings *settings;
 	uint32_t wait_ms;
 	uint64_t announced_ms;
-	bool is_read;
 	bool is_reachable;
+	size_t next_seed;
+	uint64_t counted;
 	pthread_mutex_t lock;
 	pthread_cond_t tried;
 	bool is_tried;
-	uint64_t counted;
 	uint32_t stopping;
 	pthread_t thread;
 };
 
 /**
  * cm_registry_loop_init() - start the thread
- * @loop: memory of the caller
- * @steer: the node
- * @registry: the registry; used by the thread alone from now on
- * @self: entry of this node
- * @wait_ms: longest wait for changes in one call
+ * @loop: memory of the caller; zeroed but for @feed, @peers, @registry,
+ *        @settings and @wait_ms
  *
  * Return: 0 or CM_E_MEMORY.
  */
-int cm_registry_loop_init(struct cm_registry_loop *loop, struct cm_steer *steer,
-			  struct cm_registry *registry,
-			  const struct cm_peer_entry *self, uint32_t wait_ms);
+int cm_registry_loop_init(struct cm_registry_loop *loop);
 
 /**
  * cm_registry_loop_wait_first() - wait until the first call has ended
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -10,6 +10,7 @@
 #include "platform/packet_head.h"
 #include "platform/registry.h"
 #include "ports/clock.h"
+#include "peer_loop.h"
 #include "registry_loop.h"
 #include "steer_loop.h"
 #include "steer_page.h"
@@ -17,6 +18,8 @@
 #define MS_PER_S 1000
 /** A wait for changes takes this part of the shortest bound. */
 #define WAIT_PART 2
+/** What another instance tells has to be so much newer than a bound, ms. */
+#define AGE_MARGIN_MS 600
 /** Part of a bound that is left for packets on their way, ms. */
 #define DOMAIN_OUT_MARGIN_MS 500
 /**
@@ -38,7 +41,9 @@
  * @steer: its core
  * @loop: its packets
  * @registry: where it hears of servers and plans
- * @feed: its registry thread
+ * @feed: what it hears of it
+ * @peers: its messages to other instances
+ * @updates: its registry thread
  * @ready: says whether it is ready
  * @metrics: serves metrics
  */
@@ -48,7 +53,9 @@
 	struct cm_steer steer;
 	struct cm_steer_loop loop;
 	struct platform_registry registry;
-	struct cm_registry_loop feed;
+	struct cm_feed feed;
+	struct cm_peer_loop peers;
+	struct cm_registry_loop updates;
 	struct cm_http_server ready;
 	struct cm_http_server metrics;
 };
@@ -124,21 +131,39 @@
 	return error;
 }
 
-static int start_feed(struct steer_entry *entry)
+static int start_updates(struct steer_entry *entry)
 {
-	uint32_t wait_ms = shortest_bound_ms(&entry->settings) / WAIT_PART;
-	struct cm_peer_entry self;
 	int error;
 
-	memcpy(self.name, entry->settings.name, sizeof(self.name));
-	memcpy(self.domain, entry->settings.domain, sizeof(self.domain));
-	error = cm_registry_loop_init(&entry->feed, &entry->steer,
-				      &entry->registry.base, &self, wait_ms);
+	entry->updates.feed = &entry->feed;
+	entry->updates.peers = &entry->peers;
+	entry->updates.registry = &entry->registry.base;
+	entry->updates.settings = &entry->settings;
+	entry->updates.wait_ms =
+		shortest_bound_ms(&entry->settings) / WAIT_PART;
+	error = cm_registry_loop_init(&entry->updates);
 	if (error)
 		return error;
 	error = start_pages(entry);
 	if (error)
-		cm_registry_loop_finish(&entry->feed);
+		cm_registry_loop_finish(&entry->updates);
+	return error;
+}
+
+static int start_peers(struct steer_entry *entry)
+{
+	const struct cm_steer_settings *settings = &entry->settings;
+	struct cm_peer_entry self = { .control = settings->control };
+	int error;
+
+	memcpy(self.name, settings->name, sizeof(self.name));
+	memcpy(self.domain, settings->domain, sizeof(self.domain));
+	error = cm_peer_loop_init(&entry->peers, &entry->feed, &self);
+	if (error)
+		return error;
+	error = start_updates(entry);
+	if (error)
+		cm_peer_loop_finish(&entry->peers);
 	return error;
 }
 
@@ -151,9 +176,13 @@
 
 	if (error)
 		return error;
-	error = start_feed(entry);
-	if (error)
+	cm_feed_init(&entry->feed, &entry->steer, registry->ops,
+		     shortest_bound_ms(&entry->settings) - AGE_MARGIN_MS);
+	error = start_peers(entry);
+	if (error) {
+		cm_feed_finish(&entry->feed);
 		registry->ops->finish(registry);
+	}
 	return error;
 }
 
@@ -181,7 +210,9 @@
 
 	cm_http_server_finish(&entry->metrics);
 	cm_http_server_finish(&entry->ready);
-	cm_registry_loop_finish(&entry->feed);
+	cm_registry_loop_finish(&entry->updates);
+	cm_peer_loop_finish(&entry->peers);
+	cm_feed_finish(&entry->feed);
 	registry->ops->finish(registry);
 	cm_steer_loop_finish(&entry->loop);
 	cm_steer_finish(&entry->steer);
@@ -259,7 +290,7 @@
 	cm_log(CM_EVENT_STARTED, "name=%s failure_domain=%s data=%s",
 	       settings->name, settings->domain,
 	       cm_endpoint_write(&settings->packets, address));
-	cm_registry_loop_wait_first(&entry.feed, FIRST_READ_MS);
+	cm_registry_loop_wait_first(&entry.updates, FIRST_READ_MS);
 	error = run_until_signal(&entry, &signals);
 	if (!error)
 		leave(&entry, &signals);
--- /dev/null
+++ b/tests/standin/platform_store.c
@@ -0,0 +1,339 @@
+#include "standin/platform_store.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define FIRST_REVISION 100
+#define PAGE_SIZE 500
+#define SILENCE_MS 1000
+#define POLL_US 2000
+#define US_PER_MS 1000
+#define OVERSIZE (17 * 1024 * 1024)
+#define TTL_MS 10000
+
+/**
+ * struct reply - an HTTP answer
+ * @status: its status
+ * @body: its body; NULL for none
+ */
+struct reply {
+	unsigned int status;
+	json_t *body;
+};
+
+static const char *query(struct MHD_Connection *connection, const char *key)
+{
+	const char *value = MHD_lookup_connection_value(
+		connection, MHD_GET_ARGUMENT_KIND, key);
+
+	return value ? value : "";
+}
+
+static json_t *item_json(const struct fake_kv_item *item)
+{
+	char *value = g_base64_encode((const guchar *)item->value, item->size);
+	json_t *json = json_pack(
+		"{s:s, s:s, s:I, s:I, s:I}", "key", item->key, "value", value,
+		"revision", (json_int_t)item->modified, "created",
+		(json_int_t)item->created, "lease", (json_int_t)item->lease);
+
+	g_free(value);
+	return json;
+}
+
+static struct reply range(struct platform_standin *standin,
+			  struct MHD_Connection *connection)
+{
+	const char *prefix = query(connection, "prefix");
+	const char *after = query(connection, "after");
+	json_t *items = json_array();
+	struct fake_kv_item *item;
+	bool more = false;
+	struct reply reply = { .status = MHD_HTTP_OK };
+
+	TAILQ_FOREACH (item, &standin->kv.items, link) {
+		if (strncmp(item->key, prefix, strlen(prefix)) != 0 ||
+		    strcmp(item->key, after) <= 0)
+			continue;
+		more = json_array_size(items) == standin->page_size;
+		if (more)
+			break;
+		json_array_append_new(items, item_json(item));
+	}
+	reply.body = json_pack("{s:o, s:b, s:I}", "items", items, "truncated",
+			       more, "as-of", (json_int_t)standin->kv.revision);
+	return reply;
+}
+
+static json_t *events_after(struct platform_standin *standin, int64_t after)
+{
+	json_t *events = json_array();
+	struct fake_kv_item *item;
+
+	TAILQ_FOREACH (item, &standin->kv.items, link)
+		if (item->modified > after)
+			json_array_append_new(events, item_json(item));
+	TAILQ_FOREACH (item, &standin->kv.erased, link)
+		if (item->modified > after)
+			json_array_append_new(
+				events, json_pack("{s:s, s:I, s:b}", "key",
+						  item->key, "revision",
+						  (json_int_t)item->modified,
+						  "deleted", true));
+	return events;
+}
+
+/* Holds the lock but while it waits. */
+static struct reply watch(struct platform_standin *standin,
+			  struct MHD_Connection *connection)
+{
+	int64_t after = atoll(query(connection, "after"));
+	long polls = atol(query(connection, "wait-ms")) * US_PER_MS / POLL_US;
+	struct reply reply = { .status = MHD_HTTP_OK };
+
+	while (standin->kv.revision <= after && polls-- > 0 &&
+	       !standin->stopping) {
+		pthread_mutex_unlock(&standin->lock);
+		usleep(POLL_US);
+		pthread_mutex_lock(&standin->lock);
+	}
+	reply.body =
+		json_pack("{s:o, s:I}", "events", events_after(standin, after),
+			  "as-of", (json_int_t)standin->kv.revision);
+	return reply;
+}
+
+static struct reply txn(struct platform_standin *standin, const json_t *body)
+{
+	const json_t *put = json_array_get(json_object_get(body, "puts"), 0);
+	const char *value = json_string_value(json_object_get(put, "value"));
+	const json_t *lease = json_object_get(put, "lease");
+	struct reply reply = { .status = MHD_HTTP_NOT_FOUND };
+	guchar *bytes;
+	gsize size;
+
+	if (!value || json_integer_value(lease) != standin->lease)
+		return reply;
+	bytes = g_base64_decode(value, &size);
+	standin->kv.revision++;
+	fake_kv_put(&standin->kv,
+		    json_string_value(json_object_get(put, "key")),
+		    (const char *)bytes, size);
+	g_free(bytes);
+	reply.status = MHD_HTTP_OK;
+	reply.body = json_pack("{s:I}", "revision",
+			       (json_int_t)standin->kv.revision);
+	return reply;
+}
+
+static struct reply keep(struct platform_standin *standin, const char *id)
+{
+	struct reply reply = { .status = MHD_HTTP_NOT_FOUND };
+
+	if (!standin->lease || atoll(id) != standin->lease)
+		return reply;
+	reply.status = MHD_HTTP_OK;
+	reply.body = json_pack("{s:i}", "ttl-ms", TTL_MS);
+	return reply;
+}
+
+static struct reply grant(struct platform_standin *standin)
+{
+	struct reply reply = { .status = MHD_HTTP_OK };
+
+	standin->lease = 7000 + standin->kv.revision;
+	reply.body = json_pack("{s:I, s:i}", "lease",
+			       (json_int_t)standin->lease, "ttl-ms", TTL_MS);
+	return reply;
+}
+
+#define KEEP_PATH "/-/kv-keep/"
+
+static struct reply route(struct platform_standin *standin,
+			  struct MHD_Connection *connection, const char *url,
+			  const json_t *body)
+{
+	struct reply reply = { .status = MHD_HTTP_BAD_REQUEST };
+
+	if (!strcmp(url, "/-/kv-range"))
+		return range(standin, connection);
+	if (!strcmp(url, "/-/kv-watch"))
+		return watch(standin, connection);
+	if (!strcmp(url, "/-/kv-txn"))
+		return txn(standin, body);
+	if (!strcmp(url, "/-/kv-lease"))
+		return grant(standin);
+	if (!strncmp(url, KEEP_PATH, strlen(KEEP_PATH)))
+		return keep(standin, url + strlen(KEEP_PATH));
+	return reply;
+}
+
+static char *fault_text(enum platform_fault fault)
+{
+	char *text;
+
+	if (fault == PLATFORM_FAULT_GARBAGE)
+		return strdup("<html>no json</html>");
+	if (fault == PLATFORM_FAULT_WRONG_TYPE)
+		return strdup("{\"items\":7,\"events\":\"x\",\"as-of\":[]}");
+	if (fault != PLATFORM_FAULT_OVERSIZE)
+		return strdup("{}");
+	text = malloc(OVERSIZE + 1);
+	memset(text, ' ', OVERSIZE);
+	text[OVERSIZE] = '\0';
+	return text;
+}
+
+static unsigned int fault_status(enum platform_fault fault)
+{
+	switch (fault) {
+	case PLATFORM_FAULT_DOWN:
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
+	case PLATFORM_FAULT_BUSY:
+		return MHD_HTTP_TOO_MANY_REQUESTS;
+	case PLATFORM_FAULT_GONE:
+		return MHD_HTTP_GONE;
+	default:
+		return MHD_HTTP_OK;
+	}
+}
+
+static enum MHD_Result send_text(struct MHD_Connection *connection,
+				 unsigned int status, char *text)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		strlen(text), text, MHD_RESPMEM_MUST_FREE);
+	enum MHD_Result result =
+		MHD_queue_response(connection, status, response);
+
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result answer(struct platform_standin *standin,
+			      struct MHD_Connection *connection,
+			      const char *url, const json_t *body)
+{
+	struct reply reply = { .status = MHD_HTTP_OK };
+	enum platform_fault fault;
+	char *text;
+
+	pthread_mutex_lock(&standin->lock);
+	fault = standin->fault;
+	if (fault == PLATFORM_FAULT_NONE || fault == PLATFORM_FAULT_LOST)
+		reply = route(standin, connection, url, body);
+	pthread_mutex_unlock(&standin->lock);
+	if (fault == PLATFORM_FAULT_SILENT)
+		usleep(SILENCE_MS * US_PER_MS);
+	if (fault == PLATFORM_FAULT_SILENT || fault == PLATFORM_FAULT_LOST) {
+		json_decref(reply.body);
+		return MHD_NO;
+	}
+	if (fault != PLATFORM_FAULT_NONE)
+		return send_text(connection, fault_status(fault),
+				 fault_text(fault));
+	text = reply.body ? json_dumps(reply.body, JSON_COMPACT) : strdup("{}");
+	json_decref(reply.body);
+	return send_text(connection, reply.status, text);
+}
+
+static enum MHD_Result handle(void *user, struct MHD_Connection *connection,
+			      const char *url, const char *method,
+			      const char *version, const char *data,
+			      size_t *data_size, void **state)
+{
+	GString *text = *state;
+	enum MHD_Result result;
+	json_t *body;
+
+	(void)method;
+	(void)version;
+	if (!text) {
+		*state = g_string_new(NULL);
+		return MHD_YES;
+	}
+	if (*data_size) {
+		g_string_append_len(text, data, (gssize)*data_size);
+		*data_size = 0;
+		return MHD_YES;
+	}
+	body = json_loads(text->str, 0, NULL);
+	result = answer(user, connection, url, body);
+	json_decref(body);
+	return result;
+}
+
+static void completed(void *user, struct MHD_Connection *connection,
+		      void **state, enum MHD_RequestTerminationCode code)
+{
+	(void)user;
+	(void)connection;
+	(void)code;
+	if (*state)
+		g_string_free(*state, TRUE);
+	*state = NULL;
+}
+
+uint16_t platform_standin_start(struct platform_standin *standin, uint16_t port)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	const union MHD_DaemonInfo *info;
+
+	memset(standin, 0, sizeof(*standin));
+	pthread_mutex_init(&standin->lock, NULL);
+	fake_kv_init(&standin->kv);
+	standin->kv.revision = FIRST_REVISION;
+	standin->page_size = PAGE_SIZE;
+	standin->server = MHD_start_daemon(
+		MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+		0, NULL, NULL, handle, standin, MHD_OPTION_SOCK_ADDR, &address,
+		MHD_OPTION_NOTIFY_COMPLETED, completed, NULL, MHD_OPTION_END);
+	if (!standin->server)
+		return 0;
+	info = MHD_get_daemon_info(standin->server, MHD_DAEMON_INFO_BIND_PORT);
+	return info->port;
+}
+
+void platform_standin_stop(struct platform_standin *standin)
+{
+	pthread_mutex_lock(&standin->lock);
+	standin->stopping = true;
+	pthread_mutex_unlock(&standin->lock);
+	MHD_stop_daemon(standin->server);
+	fake_kv_finish(&standin->kv);
+	pthread_mutex_destroy(&standin->lock);
+}
+
+void platform_standin_put(struct platform_standin *standin, const char *key,
+			  const char *value)
+{
+	pthread_mutex_lock(&standin->lock);
+	standin->kv.revision++;
+	fake_kv_put(&standin->kv, key, value, strlen(value));
+	pthread_mutex_unlock(&standin->lock);
+}
+
+void platform_standin_remove(struct platform_standin *standin, const char *key)
+{
+	pthread_mutex_lock(&standin->lock);
+	fake_kv_erase(&standin->kv, key, NULL);
+	pthread_mutex_unlock(&standin->lock);
+}
+
+void platform_standin_set_fault(struct platform_standin *standin,
+				enum platform_fault fault)
+{
+	pthread_mutex_lock(&standin->lock);
+	standin->fault = fault;
+	pthread_mutex_unlock(&standin->lock);
+}
--- /dev/null
+++ b/tests/standin/platform_store.h
@@ -0,0 +1,78 @@
+/**
+ * DOC: The users' store over HTTP
+ *
+ * Serves the calls of the platform's store that the registry uses, from memory,
+ * with faults as switches.
+ */
+#ifndef STANDIN_PLATFORM_STORE_H
+#define STANDIN_PLATFORM_STORE_H
+
+#include <pthread.h>
+
+#include "fake/kv.h"
+
+/**
+ * enum platform_fault - what the store does to calls
+ * @PLATFORM_FAULT_NONE: answers them
+ * @PLATFORM_FAULT_DOWN: 503
+ * @PLATFORM_FAULT_BUSY: 429
+ * @PLATFORM_FAULT_GONE: 410, as the history is gone
+ * @PLATFORM_FAULT_SILENT: no answer
+ * @PLATFORM_FAULT_GARBAGE: text that is no JSON
+ * @PLATFORM_FAULT_WRONG_TYPE: an object without the fields of the answer
+ * @PLATFORM_FAULT_OVERSIZE: more bytes than any answer has
+ * @PLATFORM_FAULT_LOST: carries the call out and answers nothing
+ * @PLATFORM_FAULT_COUNT: number of faults
+ */
+enum platform_fault {
+	PLATFORM_FAULT_NONE,
+	PLATFORM_FAULT_DOWN,
+	PLATFORM_FAULT_BUSY,
+	PLATFORM_FAULT_GONE,
+	PLATFORM_FAULT_SILENT,
+	PLATFORM_FAULT_GARBAGE,
+	PLATFORM_FAULT_WRONG_TYPE,
+	PLATFORM_FAULT_OVERSIZE,
+	PLATFORM_FAULT_LOST,
+	PLATFORM_FAULT_COUNT,
+};
+
+/**
+ * struct platform_standin - the served store
+ * @server: handle of the HTTP library
+ * @lock: guards all below
+ * @kv: the keys
+ * @page_size: most items of an answer
+ * @fault: what it does to calls
+ * @lease: the lease granted last; 0 once it ended
+ * @stopping: ends waiting calls
+ */
+struct platform_standin {
+	void *server;
+	pthread_mutex_t lock;
+	struct fake_kv kv;
+	size_t page_size;
+	enum platform_fault fault;
+	int64_t lease;
+	bool stopping;
+};
+
+/** platform_standin_start() - serve on a port of loopback; returns the port */
+uint16_t platform_standin_start(struct platform_standin *standin,
+				uint16_t port);
+
+/** platform_standin_stop() - stop serving and forget all */
+void platform_standin_stop(struct platform_standin *standin);
+
+/** platform_standin_put() - write a key, as its owner would */
+void platform_standin_put(struct platform_standin *standin, const char *key,
+			  const char *value);
+
+/** platform_standin_remove() - remove a key */
+void platform_standin_remove(struct platform_standin *standin, const char *key);
+
+/** platform_standin_set_fault() - what it does to calls from now on */
+void platform_standin_set_fault(struct platform_standin *standin,
+				enum platform_fault fault);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_feed.c
@@ -0,0 +1,187 @@
+#include "unit/suites.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "chervilmast/feed_source.h"
+#include "chervilmast/item_log.h"
+
+#define NOW_MS 100000
+#define AGE_MAX_MS 2400
+
+static struct cm_item_log log_a, log_b;
+static char told[256];
+
+static void setup(void)
+{
+	cm_item_log_init(&log_a);
+	cm_item_log_init(&log_b);
+	told[0] = '\0';
+}
+
+static void teardown(void)
+{
+	cm_item_log_finish(&log_a);
+	cm_item_log_finish(&log_b);
+}
+
+/* Appends what is told, as in "a=1 -b ". */
+static void tell(void *user, const struct cm_item *item)
+{
+	size_t used = strlen(told);
+
+	(void)user;
+	if (item->is_gone)
+		snprintf(told + used, sizeof(told) - used, "-%s ", item->key);
+	else
+		snprintf(told + used, sizeof(told) - used, "%s=%s ", item->key,
+			 item->value);
+}
+
+static void put(struct cm_item_log *log, const char *key, const char *value,
+		uint64_t revision)
+{
+	cm_item_log_put(log, key, value, strlen(value), revision);
+	cm_item_log_reached(log, revision);
+}
+
+UNIT_CASE("feed", "feed", setup, teardown, UNIT_TIMEOUT_S);
+
+TEST(older_change_is_refused)
+{
+	ck_assert_ptr_nonnull(cm_item_log_put(&log_a, "a", "2", 1, 7));
+	ck_assert_ptr_null(cm_item_log_put(&log_a, "a", "1", 1, 7));
+	ck_assert_ptr_null(cm_item_log_put(&log_a, "a", "1", 1, 6));
+	ck_assert_ptr_null(cm_item_log_remove(&log_a, "a", 6, NOW_MS));
+	cm_item_log_tell(&log_a, 0, tell, NULL);
+	ck_assert_str_eq(told, "a=2 ");
+}
+
+TEST(changes_are_told_in_their_order)
+{
+	put(&log_a, "a", "1", 5);
+	put(&log_a, "b", "1", 6);
+	put(&log_a, "a", "2", 7);
+	cm_item_log_remove(&log_a, "b", 8, NOW_MS);
+	cm_item_log_tell(&log_a, 6, tell, NULL);
+	ck_assert_str_eq(told, "a=2 -b ");
+}
+
+TEST(snapshot_takes_away_what_it_lacks)
+{
+	put(&log_a, "a", "1", 5);
+	put(&log_a, "b", "1", 6);
+	put(&log_a, "later", "1", 12);
+	cm_item_log_begin(&log_a);
+	put(&log_a, "b", "1", 6);
+	put(&log_a, "c", "1", 9);
+	cm_item_log_end(&log_a, 10, NOW_MS, tell, NULL);
+	ck_assert_str_eq(told, "-a ");
+	told[0] = '\0';
+	cm_item_log_tell(&log_a, 0, tell, NULL);
+	ck_assert_str_eq(told, "b=1 later=1 c=1 ");
+	ck_assert_uint_eq(log_a.revision, 12);
+}
+
+/* An item that went without a trace can't be told of one by one. */
+TEST(swept_changes_need_a_snapshot)
+{
+	cm_item_log_begin(&log_a);
+	put(&log_a, "a", "1", 5);
+	put(&log_a, "b", "1", 6);
+	cm_item_log_end(&log_a, 6, NOW_MS, tell, NULL);
+	ck_assert(cm_item_log_can_tell(&log_a, 6));
+	ck_assert(!cm_item_log_can_tell(&log_a, 5));
+	ck_assert(!cm_item_log_can_tell(&log_a, 0));
+	cm_item_log_remove(&log_a, "a", 8, NOW_MS);
+	cm_item_log_sweep(&log_a, NOW_MS);
+	ck_assert(cm_item_log_can_tell(&log_a, 6));
+	cm_item_log_sweep(&log_a, NOW_MS + 1);
+	ck_assert(!cm_item_log_can_tell(&log_a, 7));
+	ck_assert(cm_item_log_can_tell(&log_a, 8));
+}
+
+TEST(item_that_came_back_is_there)
+{
+	put(&log_a, "a", "1", 5);
+	cm_item_log_remove(&log_a, "a", 6, NOW_MS);
+	put(&log_a, "a", "2", 7);
+	cm_item_log_tell(&log_a, 0, tell, NULL);
+	ck_assert_str_eq(told, "a=2 ");
+}
+
+/* Steps of a node that asks a source: time, what happens, what it may do. */
+enum step { ASK, GOOD, BEHIND, OLD };
+
+static const struct {
+	const char *name;
+	struct {
+		uint64_t at_ms;
+		enum step step;
+		const char *source;
+		bool may_ask;
+	} steps[8];
+} runs[] = {
+	{ "a source that answers is asked on",
+	  { { 0, ASK, "a", true },
+	    { 10, GOOD, "a", true },
+	    { 5000, ASK, "a", true },
+	    { 5010, GOOD, "a", true },
+	    { 10000, ASK, "a", true } } },
+	{ "a silent one is passed over, and asked again later",
+	  { { 0, ASK, "a", true },
+	    { 400, ASK, "a", true },
+	    { 600, ASK, "a", false },
+	    { 5599, ASK, "b", true },
+	    { 5600, ASK, "a", true } } },
+	{ "one that knows less is as one that is silent",
+	  { { 0, ASK, "a", true },
+	    { 10, BEHIND, "a", true },
+	    { 300, ASK, "a", true },
+	    { 310, BEHIND, "a", true },
+	    { 600, ASK, "a", false } } },
+	{ "so is one that has not heard of the registry for long",
+	  { { 0, ASK, "a", true },
+	    { 10, OLD, "a", true },
+	    { 600, ASK, "a", false } } },
+	{ "another one gets a patience of its own",
+	  { { 0, ASK, "a", true },
+	    { 500, ASK, "b", true },
+	    { 1000, ASK, "b", true },
+	    { 1100, ASK, "b", false } } },
+};
+
+TEST_TABLE(source_is_chosen, runs)
+{
+	struct cm_feed_source feed;
+
+	cm_feed_source_init(&feed, AGE_MAX_MS);
+	for (int i = 0; i < 8 && runs[_i].steps[i].source; i++) {
+		uint64_t now_ms = NOW_MS + runs[_i].steps[i].at_ms;
+		enum step step = runs[_i].steps[i].step;
+		const char *source = runs[_i].steps[i].source;
+
+		if (step != ASK) {
+			cm_feed_source_answered(
+				&feed, step == OLD ? AGE_MAX_MS + 1 : 100,
+				step == BEHIND);
+			continue;
+		}
+		ck_assert_msg(cm_feed_source_may_ask(&feed, source, now_ms) ==
+				      runs[_i].steps[i].may_ask,
+			      "%s: step %d", runs[_i].name, i);
+	}
+}
+
+TEST(passed_sources_are_remembered_by_name)
+{
+	struct cm_feed_source feed;
+
+	cm_feed_source_init(&feed, AGE_MAX_MS);
+	cm_feed_source_may_ask(&feed, "a", NOW_MS);
+	cm_feed_source_may_ask(&feed, "a", NOW_MS + CM_FEED_PATIENCE_MS);
+	ck_assert(cm_feed_source_is_passed(&feed, "a", NOW_MS + 1000));
+	ck_assert(!cm_feed_source_is_passed(&feed, "b", NOW_MS + 1000));
+	ck_assert(!cm_feed_source_is_passed(
+		&feed, "a", NOW_MS + CM_FEED_PATIENCE_MS + CM_FEED_RETRY_MS));
+}
--- /dev/null
+++ b/tests/unit/test_platform.c
@@ -0,0 +1,233 @@
+#include "unit/suites.h"
+
+#include <jansson.h>
+#include <netinet/in.h>
+#include <string.h>
+
+#include "chervilmast/error.h"
+#include "platform/desired_state.h"
+#include "platform/packet_head.h"
+#include "platform/server_entry.h"
+
+UNIT_CASE("platform", "formats", NULL, NULL, UNIT_TIMEOUT_S);
+
+/* The examples of the page. */
+static const uint8_t syn[PLATFORM_HEAD_SIZE] = {
+	0x01, 0x00, 0xa1, 0xb2, 0xc3, 0xd5, 0x00, 0x00, 0x11, 0x22, 0x33,
+	0x44, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0xc6, 0x12,
+	0x00, 0x01, 0x64, 0x40, 0x00, 0x07, 0x9c, 0x41, 0x01, 0xbb,
+};
+
+static const uint8_t reset[PLATFORM_HEAD_SIZE] = {
+	0x40, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+	0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x64, 0x40,
+	0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x01, 0xbb, 0x9c, 0x41,
+};
+
+TEST(example_syn_is_read)
+{
+	struct cm_steer_packet packet;
+
+	ASSERT_OK(platform_fabric.read(syn, sizeof(syn), &packet));
+	ck_assert_uint_eq(packet.flags, CM_STEER_SYN);
+	ck_assert_uint_eq(packet.key.caller.address, 0x64400007);
+	ck_assert_uint_eq(packet.key.caller.port, 40001);
+	ck_assert_uint_eq(packet.key.service.address, 0xc6120001);
+	ck_assert_uint_eq(packet.key.service.port, 443);
+	ck_assert_uint_eq(packet.token, 0);
+	ck_assert_uint_eq(packet.repeats, 0);
+}
+
+TEST(example_reset_is_written)
+{
+	uint8_t written[CM_FABRIC_RESET_MAX];
+
+	ck_assert_uint_eq(platform_fabric.write_reset(syn, written),
+			  sizeof(reset));
+	ck_assert_mem_eq(written, reset, sizeof(reset));
+}
+
+/* Only the token may change: the sender's sum covers the rest. */
+TEST(token_is_all_that_changes)
+{
+	uint8_t bytes[PLATFORM_HEAD_SIZE], prefix[CM_FABRIC_PREFIX_MAX];
+	static const uint8_t id[] = { 0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2 };
+	struct cm_steer_packet packet;
+
+	memcpy(bytes, syn, sizeof(bytes));
+	platform_fabric.set_token(bytes, 0x01020304);
+	ASSERT_OK(platform_fabric.read(bytes, sizeof(bytes), &packet));
+	ck_assert_uint_eq(packet.token, 0x01020304);
+	memset(bytes + 16, 0, 4);
+	ck_assert_mem_eq(bytes, syn, sizeof(bytes));
+	ck_assert_uint_eq(platform_fabric.prefix_size, sizeof(id));
+	platform_fabric.write_prefix(prefix, 0x7f3a91c2);
+	ck_assert_mem_eq(prefix, id, sizeof(id));
+}
+
+TEST(repeats_are_counted_in_syns_only)
+{
+	uint8_t bytes[PLATFORM_HEAD_SIZE];
+	struct cm_steer_packet packet;
+
+	memcpy(bytes, syn, sizeof(bytes));
+	bytes[15] = 2;
+	ASSERT_OK(platform_fabric.read(bytes, sizeof(bytes), &packet));
+	ck_assert_uint_eq(packet.repeats, 2);
+	bytes[0] = 4;
+	ASSERT_OK(platform_fabric.read(bytes, sizeof(bytes), &packet));
+	ck_assert_uint_eq(packet.repeats, 0);
+	ck_assert_uint_eq(packet.flags, CM_STEER_ACK);
+}
+
+/* Length of the datagram, of its data as the head says, and the result. */
+static const struct {
+	size_t length;
+	uint16_t data;
+	int error;
+} heads[] = {
+	{ 0, 0, CM_E_TRUNCATED },
+	{ 31, 0, CM_E_TRUNCATED },
+	{ 32, 0, 0 },
+	{ 33, 0, CM_E_MALFORMED },
+	{ 32, 1, CM_E_MALFORMED },
+	{ 32 + 1200, 1200, 0 },
+	{ 32 + 1201, 1201, CM_E_MALFORMED },
+	{ 32 + 1200, 1199, CM_E_MALFORMED },
+};
+
+TEST_TABLE(length_is_checked, heads)
+{
+	uint8_t bytes[CM_FABRIC_PACKET_MAX] = { 4 };
+	struct cm_steer_packet packet;
+
+	bytes[6] = (uint8_t)(heads[_i].data >> 8);
+	bytes[7] = (uint8_t)heads[_i].data;
+	ck_assert_int_eq(platform_fabric.read(bytes, heads[_i].length, &packet),
+			 heads[_i].error);
+}
+
+#define ENTRY(more)                                                          \
+	"{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z\"," \
+	"\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","                \
+	"\"cold-left-ms\":5,\"sequence\":4" more "}"
+
+/* An entry, its id and what reading it gives. */
+static const struct {
+	const char *id;
+	const char *text;
+	int error;
+} entries[] = {
+	{ "i-7f3a91c2", ENTRY(""), 0 },
+	{ "i-7f3a91c2", ENTRY(",\"born\":1700000000000"), 0 },
+	{ "i-7f3a91c2", ENTRY(",\"unknown\":[1]"), 0 },
+	{ "i-7f3a91c2", ENTRY(",\"born\":\"x\""), CM_E_WRONG_TYPE },
+	{ "i-7f3a91c2", ENTRY(",\"born\":1.5"), CM_E_WRONG_TYPE },
+	{ "i-7f3a91c2", ENTRY(",\"born\":-1"), CM_E_OUT_OF_RANGE },
+	{ "i-7f3a91c2", ENTRY(",\"slots\":0"), CM_E_OUT_OF_RANGE },
+	{ "i-7f3a91c2", ENTRY(",\"slots\":\"3\""), CM_E_WRONG_TYPE },
+	{ "i-7f3a91c2", ENTRY(",\"state\":\"lost\""), CM_E_OUT_OF_RANGE },
+	{ "i-7f3a91c2", ENTRY(",\"state\":7"), CM_E_WRONG_TYPE },
+	{ "i-7f3a91c2", ENTRY(",\"service\":\"\""), CM_E_OUT_OF_RANGE },
+	{ "i-7f3a91c2", ENTRY(",\"service\":null"), CM_E_WRONG_TYPE },
+	{ "i-7f3a91c2", ENTRY(",\"zone\":{}"), CM_E_WRONG_TYPE },
+	{ "i-7f3a91c2", ENTRY(",\"address\":\"x:1\""), CM_E_BAD_ADDRESS },
+	{ "i-7f3a91c2", ENTRY(",\"address\":\"10.0.0.1\""), CM_E_BAD_ADDRESS },
+	{ "i-7f3a91c2", ENTRY(",\"address\":\"10.0.0.1:0\""),
+	  CM_E_BAD_ADDRESS },
+	{ "i-7f3a91c2", ENTRY(",\"cold-left-ms\":-5"), CM_E_OUT_OF_RANGE },
+	{ "i-7f3a91c2", "{}", CM_E_MISSING_KEY },
+	{ "i-7f3a91c2", "[]", CM_E_WRONG_TYPE },
+	{ "i-7f3a91c2", "7", CM_E_WRONG_TYPE },
+	{ "i-", ENTRY(""), CM_E_BAD_NAME },
+	{ "i-xyz", ENTRY(""), CM_E_BAD_NAME },
+	{ "i-11112222333344445", ENTRY(""), CM_E_BAD_NAME },
+};
+
+TEST_TABLE(entry_is_checked, entries)
+{
+	struct cm_server_entry entry = { .id = 0 };
+	json_t *value = json_loads(entries[_i].text, JSON_DECODE_ANY, NULL);
+
+	ck_assert_int_eq(platform_server_entry(&entry, entries[_i].id, value),
+			 entries[_i].error);
+	json_decref(value);
+	if (entries[_i].error)
+		return;
+	ck_assert_uint_eq(entry.id, 0x7f3a91c2);
+	ck_assert_uint_eq(entry.slots, 3);
+	ck_assert_uint_eq(entry.cold_left_ms, 5);
+	ck_assert_uint_eq(entry.address.address, 0x0a800009);
+	ck_assert_uint_eq(entry.address.port, 8080);
+	ck_assert_str_eq(entry.domain, "z");
+	ck_assert(!entry.is_draining);
+}
+
+#define STATE(routes, services)                                 \
+	"{\"version\":7,\"limits\":{},\"routes\":[" routes "]," \
+	"\"services\":[" services "]}"
+#define ROUTE(more)                                                     \
+	"{\"name\":\"r\",\"host\":\"198.18.0.1\",\"prefix\":\"/443/\"," \
+	"\"service\":\"s\"" more "}"
+#define SERVICE "{\"name\":\"s\",\"cold-per-s\":2.5}"
+
+/* A desired state and what reading it gives. */
+static const struct {
+	const char *text;
+	int error;
+} states[] = {
+	{ STATE(ROUTE(""), SERVICE), 0 },
+	{ STATE("", ""), 0 },
+	{ STATE(ROUTE(",\"backends\":[{\"service\":\"s\",\"weight\":9},"
+		      "{\"service\":\"t\",\"weight\":1}]"),
+		SERVICE),
+	  0 },
+	{ STATE(ROUTE(",\"backends\":[{\"service\":\"s\"}]"), ""),
+	  CM_E_MISSING_KEY },
+	{ STATE(ROUTE(",\"backends\":[{\"service\":\"s\",\"weight\":-1}]"), ""),
+	  CM_E_OUT_OF_RANGE },
+	{ STATE(ROUTE(",\"prefix\":\"/x/\""), ""), CM_E_BAD_ADDRESS },
+	{ STATE(ROUTE(",\"prefix\":\"/443\""), ""), CM_E_BAD_ADDRESS },
+	{ STATE(ROUTE(",\"prefix\":\"/70000/\""), ""), CM_E_BAD_ADDRESS },
+	{ STATE(ROUTE(",\"host\":\"name\""), ""), CM_E_BAD_ADDRESS },
+	{ STATE(ROUTE(",\"host\":7"), ""), CM_E_WRONG_TYPE },
+	{ STATE(ROUTE(",\"service\":7"), ""), CM_E_WRONG_TYPE },
+	{ STATE(ROUTE("") "," ROUTE(""), ""), CM_E_SAME_ENDPOINT },
+	{ STATE("", SERVICE "," SERVICE), CM_E_REPEATED },
+	{ STATE("", "{\"name\":\"s\",\"cold-per-s\":-1}"), CM_E_OUT_OF_RANGE },
+	{ "{\"version\":7}", CM_E_WRONG_TYPE },
+	{ "{}", CM_E_MISSING_KEY },
+	{ "{\"version\":\"7\"}", CM_E_WRONG_TYPE },
+	{ "[]", CM_E_MISSING_KEY },
+};
+
+TEST_TABLE(desired_state_is_checked, states)
+{
+	struct cm_steer_plan plan;
+	json_t *value = json_loads(states[_i].text, JSON_DECODE_ANY, NULL);
+
+	ck_assert_ptr_nonnull(value);
+	ck_assert_int_eq(platform_desired_state(&plan, value),
+			 states[_i].error);
+	json_decref(value);
+	if (!states[_i].error)
+		cm_steer_plan_finish(&plan);
+}
+
+TEST(route_leads_to_its_service)
+{
+	const struct cm_endpoint address = { 0xc6120001, 443, IPPROTO_TCP };
+	const struct cm_endpoint other = { 0xc6120001, 444, IPPROTO_TCP };
+	const struct cm_steer_route *route;
+	struct cm_steer_plan plan;
+	json_t *value = json_loads(STATE(ROUTE(""), SERVICE), 0, NULL);
+
+	ASSERT_OK(platform_desired_state(&plan, value));
+	json_decref(value);
+	ck_assert_uint_eq(plan.version, 7);
+	route = cm_steer_plan_route(&plan, &address);
+	ck_assert_str_eq(cm_steer_route_service(route, 5), "s");
+	ck_assert_ptr_null(cm_steer_plan_route(&plan, &other));
+	ck_assert_uint_eq(cm_steer_plan_service(&plan, "s")->cold_per_s, 2);
+	cm_steer_plan_finish(&plan);
+}
