--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -173,8 +173,8 @@
 	  "new flows reset as no route leads from their address")                \
 	X(STEER_NO_PLAN, "steer_no_plan",                                        \
 	  "new flows reset as the node knows no plan yet")                       \
-	X(STEER_CUT_OFF, "steer_cut_off",                                        \
-	  "times that no server answered and one was tried over TCP")            \
+	X(STEER_PROBES, "steer_probes",                                          \
+	  "connections opened to servers that did not answer a SYN")             \
 	X(STEER_NO_SERVER, "steer_no_server",                                    \
 	  "new flows reset as no server may take them")                          \
 	X(STEER_STALE, "steer_stale",                                            \
@@ -198,8 +198,7 @@
 	X(REGISTRY_BAD_ITEM, "registry_bad_item",                                \
 	  "items of the registry that could not be used")                        \
 	X(REGISTRY_SNAPSHOTS, "registry_snapshots",                              \
-	  "times that all of the registry was read")                             \
-	X(LOG_DROPPED, "log_dropped", "log lines left out over the budget")
+	  "times that all of the registry was read")
 
 /**
  * enum cm_counter - index of a counter
--- a/include/chervilmast/server_health.h
+++ b/include/chervilmast/server_health.h
@@ -2,9 +2,9 @@
  * DOC: Health of a backend server as its flows show it
  *
  * A node sees only the callers' half of a flow. An answered SYN shows by the
- * caller's next packet; the time until the server acknowledges the request and
- * the time until the caller ends the flow show how fast the server works. No
- * probe is sent.
+ * caller's next packet, and the time until the caller ends the flow shows how
+ * fast the server works. Only a server that left a SYN unanswered is probed, so
+ * that no further caller has to wait for it.
  */
 #ifndef CHERVILMAST_SERVER_HEALTH_H
 #define CHERVILMAST_SERVER_HEALTH_H
@@ -12,16 +12,19 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** First pause between trial flows of a suspected server, ms. */
-#define CM_HEALTH_TRIAL_MS 400
-/** Longest pause between trial flows of a suspected server, ms. */
-#define CM_HEALTH_TRIAL_MAX_MS 1600
+/** Pause after the first probe of a suspected server, ms; doubles each time. */
+#define CM_HEALTH_PROBE_MS 200
+/** Longest pause between probes of a suspected server, ms. */
+#define CM_HEALTH_PROBE_MAX_MS 1600
 
 /**
  * struct cm_server_health - what a node saw of a backend server
  * @unanswered: SYNs in a row that got no answer
- * @silent_since_ms: when the first of them was sent
- * @trial_ms: when a suspected server last got a flow
+ * @unanswered_ms: when the last of them was sent
+ * @is_reached: a probe reached the server after the last of them
+ * @probes: probes since the server was last reached
+ * @probed_ms: when the last probe began
+ * @tried_ms: when the server last got a flow
  * @answered_ms: when it last answered a SYN; 0 when it never did
  * @service_eighths: smoothed time from SYN to end of a flow, eighths of ms; 0
  *                   when unknown
@@ -29,8 +32,11 @@
  */
 struct cm_server_health {
 	uint32_t unanswered;
-	uint64_t silent_since_ms;
-	uint64_t trial_ms;
+	uint64_t unanswered_ms;
+	bool is_reached;
+	uint32_t probes;
+	uint64_t probed_ms;
+	uint64_t tried_ms;
 	uint64_t answered_ms;
 	uint32_t service_eighths;
 	uint64_t service_ms;
@@ -76,14 +82,38 @@
 bool cm_server_health_is_suspected(const struct cm_server_health *health);
 
 /**
- * cm_server_health_may_try() - whether a suspected server gets a trial flow
+ * cm_server_health_probe_is_due() - whether to try a suspected server
  * @health: what was seen
  * @now_ms: current time
  *
- * Return: true when the pause since the last one is over.
+ * Return: true for a suspected server that no probe has reached, when the pause
+ * since the last one is over.
  */
-bool cm_server_health_may_try(const struct cm_server_health *health,
-			      uint64_t now_ms);
+bool cm_server_health_probe_is_due(const struct cm_server_health *health,
+				   uint64_t now_ms);
+
+/**
+ * cm_server_health_probed() - a probe of the server begins
+ * @health: what was seen
+ * @now_ms: current time
+ */
+void cm_server_health_probed(struct cm_server_health *health, uint64_t now_ms);
+
+/**
+ * cm_server_health_reached() - a probe reached the server
+ * @health: what was seen
+ *
+ * It may get one flow now, which shows whether it answers.
+ */
+void cm_server_health_reached(struct cm_server_health *health);
+
+/**
+ * cm_server_health_may_try() - whether a server gets flows
+ * @health: what was seen
+ *
+ * Return: false for a suspected server that no probe has reached.
+ */
+bool cm_server_health_may_try(const struct cm_server_health *health);
 
 /**
  * cm_server_health_tried() - a flow goes to the server
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -136,7 +136,7 @@
  * @choices: choices so far
  * @last_flow_ms: when a packet was last sent on
  * @silent_syns: SYNs in a row, to any server, that got no answer
- * @silent_since_ms: when the first of them was sent on
+ * @probed_ms: when the last probe began
  * @counters: counters
  */
 struct cm_steer {
@@ -157,7 +157,7 @@
 	uint64_t choices;
 	uint64_t last_flow_ms;
 	uint32_t silent_syns;
-	uint64_t silent_since_ms;
+	uint64_t probed_ms;
 	struct cm_counters counters;
 };
 
@@ -318,22 +318,25 @@
 bool cm_steer_is_ready(struct cm_steer *steer, uint64_t now_ms);
 
 /**
- * cm_steer_unreached() - a server by which to find out whether any is reached
+ * cm_steer_next_probe() - a server that should be probed now
  * @steer: the node
  * @now_ms: current time
  * @address: set to where the server listens
  *
- * Return: true when the node seems to be cut off from all servers and is to try
- * this one.
+ * A probe opens a connection to the server and closes it again. Servers that
+ * left a SYN unanswered are probed; when no server answers at all, any.
+ *
+ * Return: token of the server, which then counts as probed; 0 for none.
  */
-bool cm_steer_unreached(struct cm_steer *steer, uint64_t now_ms,
-			struct cm_endpoint *address);
+uint32_t cm_steer_next_probe(struct cm_steer *steer, uint64_t now_ms,
+			     struct cm_endpoint *address);
 
 /**
- * cm_steer_reached() - a server was reached, so the node is not cut off
+ * cm_steer_reached() - a probe reached a server
  * @steer: the node
+ * @token: token of the server
  */
-void cm_steer_reached(struct cm_steer *steer);
+void cm_steer_reached(struct cm_steer *steer, uint32_t token);
 
 /**
  * cm_steer_idle_ms() - time since a packet was last sent on
--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -8,8 +8,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
 #include "chervilmast/error.h"
 
@@ -44,7 +42,7 @@
 		return;
 	transfer->error = error;
 	transfer->is_done = true;
-	event_base_loopbreak(transfer->client->base);
+	event_base_loopbreak(transfer->client->loop.base);
 }
 
 static void transfer_take(struct transfer *transfer, struct evbuffer *input)
@@ -99,16 +97,6 @@
 	transfer_end(user, CM_E_TIMEOUT);
 }
 
-/* Ends a transfer, above all a waiting watch, when the process stops. */
-static void on_interrupt(evutil_socket_t fd, short events, void *user)
-{
-	struct cm_http_client *client = user;
-
-	(void)fd;
-	(void)events;
-	event_base_loopbreak(client->base);
-}
-
 static void drop_connection(struct cm_http_client *client)
 {
 	if (client->connection)
@@ -121,7 +109,7 @@
 	if (client->connection)
 		return CM_OK;
 	client->connection = evhttp_connection_base_new(
-		client->base, NULL, client->host, client->port);
+		client->loop.base, NULL, client->host, client->port);
 	if (!client->connection)
 		return CM_E_MEMORY;
 	evhttp_connection_set_max_body_size(client->connection, ANSWER_MAX);
@@ -179,14 +167,15 @@
 		.tv_sec = timeout_ms / MS_PER_S,
 		.tv_usec = (suseconds_t)(timeout_ms % MS_PER_S) * US_PER_MS,
 	};
-	struct event *timer = evtimer_new(client->base, on_timeout, transfer);
+	struct event *timer =
+		evtimer_new(client->loop.base, on_timeout, transfer);
 
 	if (!timer || evtimer_add(timer, &wait)) {
 		transfer_end(transfer, CM_E_MEMORY);
 	} else {
 		while (!transfer->is_done &&
 		       !ck_pr_load_32(&client->interrupted))
-			event_base_dispatch(client->base);
+			event_base_dispatch(client->loop.base);
 	}
 	transfer_end(transfer, CM_E_UNAVAILABLE);
 	if (timer)
@@ -274,34 +263,22 @@
 	return CM_OK;
 }
 
-static int start_loop(struct cm_http_client *client)
-{
-	client->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-	client->base = event_base_new();
-	if (client->wake_fd < 0 || !client->base)
-		return CM_E_MEMORY;
-	client->wake = event_new(client->base, client->wake_fd, EV_READ,
-				 on_interrupt, client);
-	if (!client->wake || event_add(client->wake, NULL))
-		return CM_E_MEMORY;
-	return CM_OK;
-}
-
 int cm_http_client_init(struct cm_http_client *client, const char *url)
 {
 	memset(client, 0, sizeof(*client));
-	client->wake_fd = -1;
-	if (set_url(client, url) || start_loop(client)) {
+	client->loop.stop_fd = -1;
+	if (set_url(client, url) || cm_event_loop_init(&client->loop)) {
 		cm_http_client_finish(client);
 		return CM_E_MEMORY;
 	}
 	return CM_OK;
 }
 
+/* Ends a transfer, above all a waiting watch, when the process stops. */
 void cm_http_interrupt(struct cm_http_client *client)
 {
 	ck_pr_store_32(&client->interrupted, 1);
-	eventfd_write(client->wake_fd, 1);
+	cm_event_loop_stop(&client->loop);
 }
 
 uint64_t cm_http_calls(const struct cm_http_client *client)
@@ -312,15 +289,10 @@
 void cm_http_client_finish(struct cm_http_client *client)
 {
 	drop_connection(client);
-	if (client->wake)
-		event_free(client->wake);
-	if (client->base)
-		event_base_free(client->base);
-	if (client->wake_fd >= 0)
-		close(client->wake_fd);
+	cm_event_loop_finish(&client->loop);
 	free(client->host);
 	g_free(client->authority);
 	free(client->base_path);
 	memset(client, 0, sizeof(*client));
-	client->wake_fd = -1;
+	client->loop.stop_fd = -1;
 }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -12,12 +12,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "event_loop.h"
+
 /**
  * struct cm_http_client - a client of one server
- * @base: event loop of the requests
+ * @loop: event loop of the requests
  * @connection: connection to the server, or NULL
- * @wake: event of @wake_fd
- * @wake_fd: readable once the client was interrupted
  * @host: host of the server
  * @port: port of the server
  * @authority: host and port as in the Host header
@@ -26,10 +26,8 @@
  * @interrupted: set to end the request in progress and all later ones
  */
 struct cm_http_client {
-	struct event_base *base;
+	struct cm_event_loop loop;
 	struct evhttp_connection *connection;
-	struct event *wake;
-	int wake_fd;
 	char *host;
 	uint16_t port;
 	char *authority;
--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -1,129 +1,168 @@
 #include "http_server.h"
 
-#include <microhttpd.h>
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "chervilmast/error.h"
 #include "socket.h"
 
-#define CONNECTIONS_MAX 32
+#define HOST_SIZE 16
 #define IDLE_TIMEOUT_S 10
 #define METHODS "GET, HEAD"
+#define ALL_METHODS                                                            \
+	(EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | \
+	 EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |           \
+	 EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH)
 
-static enum MHD_Result queue(struct MHD_Connection *connection,
-			     unsigned int status, struct MHD_Response *response,
-			     const char *type)
+static void add_header(struct evhttp_request *request, const char *name,
+		       const char *value)
 {
-	enum MHD_Result result;
-
-	if (!response)
-		return MHD_NO;
-	MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
-	if (status == MHD_HTTP_METHOD_NOT_ALLOWED)
-		MHD_add_response_header(response, MHD_HTTP_HEADER_ALLOW,
-					METHODS);
-	result = MHD_queue_response(connection, status, response);
-	MHD_destroy_response(response);
-	return result;
+	evhttp_add_header(evhttp_request_get_output_headers(request), name,
+			  value);
 }
 
-static enum MHD_Result refuse(struct MHD_Connection *connection,
-			      unsigned int status, const char *text)
+static void reply(struct evhttp_request *request, unsigned int status,
+		  const char *type, const char *text)
 {
-	struct MHD_Response *response = MHD_create_response_from_buffer(
-		strlen(text), (void *)text, MHD_RESPMEM_PERSISTENT);
+	struct evbuffer *body = evhttp_request_get_output_buffer(request);
 
-	return queue(connection, status, response, "text/plain");
+	add_header(request, "Content-Type", type);
+	if (status == HTTP_BADMETHOD)
+		add_header(request, "Allow", METHODS);
+	evbuffer_add(body, text, strlen(text));
+	evhttp_send_reply(request, (int)status, NULL, NULL);
 }
 
-static enum MHD_Result respond(const struct cm_http_server *server,
-			       struct MHD_Connection *connection,
-			       const struct cm_http_page *page)
+/* The path as it came: no page's path needs escapes. */
+static bool path_is(const char *path, const char *uri)
 {
-	unsigned int status = MHD_HTTP_OK;
-	char *text = page->render(server->user, &status);
-	struct MHD_Response *response;
-
-	if (!text)
-		return refuse(connection, MHD_HTTP_INTERNAL_SERVER_ERROR,
-			      "out-of-memory\n");
-	response = MHD_create_response_from_buffer(strlen(text), text,
-						   MHD_RESPMEM_MUST_FREE);
-	if (!response)
-		free(text);
-	return queue(connection, status, response, page->type);
+	size_t length = strcspn(uri, "?#");
+
+	return strlen(path) == length && !strncmp(path, uri, length);
 }
 
-static const struct cm_http_page *find_page(const struct cm_http_server *server,
-					    const char *path)
+static const struct cm_http_page *find_page(const struct cm_http_site *site,
+					    const char *uri)
 {
-	for (const struct cm_http_page *page = server->pages; page->path;
-	     page++)
-		if (!strcmp(page->path, path))
+	for (const struct cm_http_page *page = site->pages; page->path; page++)
+		if (path_is(page->path, uri))
 			return page;
 	return NULL;
 }
 
-static enum MHD_Result handle(void *user, struct MHD_Connection *connection,
-			      const char *url, const char *method,
-			      const char *version, const char *data,
-			      size_t *data_size, void **state)
+static void respond(const struct cm_http_site *site,
+		    struct evhttp_request *request,
+		    const struct cm_http_page *page)
 {
-	const struct cm_http_page *page = find_page(user, url);
-
-	(void)version;
-	(void)data;
-	(void)data_size;
-	(void)state;
-	if (!page)
-		return refuse(connection, MHD_HTTP_NOT_FOUND, "not-found\n");
-	if (strcmp(method, MHD_HTTP_METHOD_GET) != 0 &&
-	    strcmp(method, MHD_HTTP_METHOD_HEAD) != 0)
-		return refuse(connection, MHD_HTTP_METHOD_NOT_ALLOWED,
-			      "method-not-allowed\n");
-	return respond(user, connection, page);
+	unsigned int status = HTTP_OK;
+	char *text = page->render(site->user, &status);
+
+	if (text)
+		reply(request, status, page->type, text);
+	else
+		reply(request, HTTP_INTERNAL, "text/plain", "out-of-memory\n");
+	free(text);
 }
 
-/* No path needs escapes, so one that has some is unknown. */
-static size_t keep_escapes(void *user, struct MHD_Connection *connection,
-			   char *text)
+static void handle(struct evhttp_request *request, void *user)
 {
-	(void)user;
-	(void)connection;
-	return strlen(text);
+	const struct cm_http_site *site = user;
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
+	enum evhttp_cmd_type method = evhttp_request_get_command(request);
+	const struct cm_http_page *page =
+		find_page(site, evhttp_request_get_uri(request));
+
+	if (!evhttp_find_header(headers, "Host"))
+		reply(request, HTTP_BADREQUEST, "text/plain", "no-host\n");
+	else if (!page)
+		reply(request, HTTP_NOTFOUND, "text/plain", "not-found\n");
+	else if (method != EVHTTP_REQ_GET && method != EVHTTP_REQ_HEAD)
+		reply(request, HTTP_BADMETHOD, "text/plain",
+		      "method-not-allowed\n");
+	else
+		respond(site, request, page);
 }
 
-int cm_http_server_init(struct cm_http_server *server,
-			const struct cm_endpoint *address,
-			const struct cm_http_page *pages, const void *user)
+static void *serve(void *user)
+{
+	struct cm_http_server *server = user;
+
+	event_base_dispatch(server->loop.base);
+	return NULL;
+}
+
+static int listen_at(struct evhttp *http, struct cm_endpoint *address)
 {
 	struct sockaddr_in bound = cm_socket_address(address);
+	socklen_t size = sizeof(bound);
+	char host[HOST_SIZE];
+	struct evhttp_bound_socket *socket;
+
+	if (!inet_ntop(AF_INET, &bound.sin_addr, host, sizeof(host)))
+		return CM_E_IO;
+	socket = evhttp_bind_socket_with_handle(http, host, address->port);
+	if (!socket || getsockname(evhttp_bound_socket_get_fd(socket),
+				   (struct sockaddr *)&bound, &size) < 0)
+		return CM_E_IO;
+	address->port = ntohs(bound.sin_port);
+	return CM_OK;
+}
 
-	server->pages = pages;
-	server->user = user;
-	server->daemon = MHD_start_daemon(
-		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
-			MHD_USE_PEDANTIC_CHECKS,
-		address->port, NULL, NULL, handle, server, MHD_OPTION_SOCK_ADDR,
-		&bound, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
-		(unsigned int)IDLE_TIMEOUT_S, MHD_OPTION_UNESCAPE_CALLBACK,
-		keep_escapes, NULL, MHD_OPTION_END);
-	return server->daemon ? CM_OK : CM_E_IO;
+static int add_site(struct cm_http_server *server,
+		    const struct cm_http_site *given)
+{
+	struct cm_http_site *site = &server->sites[server->count];
+	struct evhttp *http = evhttp_new(server->loop.base);
+
+	if (!http)
+		return CM_E_IO;
+	*site = *given;
+	server->https[server->count++] = http;
+	evhttp_set_allowed_methods(http, ALL_METHODS);
+	evhttp_set_timeout(http, IDLE_TIMEOUT_S);
+	evhttp_set_gencb(http, handle, site);
+	return listen_at(http, &site->address);
 }
 
-uint16_t cm_http_server_port(const struct cm_http_server *server)
+static void tear_down(struct cm_http_server *server)
 {
-	const union MHD_DaemonInfo *info =
-		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT);
+	for (size_t i = 0; i < server->count; i++)
+		evhttp_free(server->https[i]);
+	cm_event_loop_finish(&server->loop);
+	server->count = 0;
+}
 
-	return info ? info->port : 0;
+int cm_http_server_init(struct cm_http_server *server,
+			const struct cm_http_site *sites, size_t count)
+{
+	int error;
+
+	memset(server, 0, sizeof(*server));
+	error = cm_event_loop_init(&server->loop);
+	for (size_t i = 0; i < count && !error; i++)
+		error = add_site(server, &sites[i]);
+	if (!error && pthread_create(&server->thread, NULL, serve, server))
+		error = CM_E_IO;
+	if (error)
+		tear_down(server);
+	return error;
+}
+
+uint16_t cm_http_server_port(const struct cm_http_server *server, size_t site)
+{
+	return server->sites[site].address.port;
 }
 
 void cm_http_server_finish(struct cm_http_server *server)
 {
-	if (server->daemon)
-		MHD_stop_daemon(server->daemon);
-	server->daemon = NULL;
+	if (!server->loop.base)
+		return;
+	cm_event_loop_stop(&server->loop);
+	pthread_join(server->thread, NULL);
+	tear_down(server);
 }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -1,15 +1,17 @@
 /**
  * DOC: HTTP server of a few pages
  *
- * Serves pages for GET and HEAD at one address from a thread of its own. A slow
- * client holds up nobody else.
+ * Serves pages for GET and HEAD, at one address or several, from a thread of
+ * its own. A slow client holds up nobody else.
  */
 #ifndef ADAPTERS_HTTP_SERVER_H
 #define ADAPTERS_HTTP_SERVER_H
 
+#include <pthread.h>
 #include <stdint.h>
 
 #include "chervilmast/flow_key.h"
+#include "event_loop.h"
 
 /**
  * struct cm_http_page - a page
@@ -24,38 +26,56 @@
 	char *(*render)(const void *user, unsigned int *status);
 };
 
+/** Most addresses of a server. */
+#define CM_HTTP_SITES_MAX 2
+
 /**
- * struct cm_http_server - a server
- * @pages: what it serves
+ * struct cm_http_site - an address with its pages
+ * @address: where to listen; port 0 lets the system choose
+ * @pages: what is served there
  * @user: for the pages
- * @daemon: handle of the HTTP library; NULL while it does not serve
  */
-struct cm_http_server {
+struct cm_http_site {
+	struct cm_endpoint address;
 	const struct cm_http_page *pages;
 	const void *user;
-	void *daemon;
+};
+
+/**
+ * struct cm_http_server - a server
+ * @sites: its addresses; their ports are the ones that are served
+ * @https: servers of the library, one for each of @sites
+ * @count: number of @sites
+ * @loop: event loop of them all
+ * @thread: its thread
+ */
+struct cm_http_server {
+	struct cm_http_site sites[CM_HTTP_SITES_MAX];
+	struct evhttp *https[CM_HTTP_SITES_MAX];
+	size_t count;
+	struct cm_event_loop loop;
+	pthread_t thread;
 };
 
 /**
  * cm_http_server_init() - start to serve
  * @server: memory of the caller
- * @address: where to listen; port 0 lets the system choose
- * @pages: what to serve; kept
- * @user: for the pages
+ * @sites: what to serve where; copied
+ * @count: number of @sites, at most CM_HTTP_SITES_MAX
  *
  * Return: 0 or CM_E_IO.
  */
 int cm_http_server_init(struct cm_http_server *server,
-			const struct cm_endpoint *address,
-			const struct cm_http_page *pages, const void *user);
+			const struct cm_http_site *sites, size_t count);
 
 /**
- * cm_http_server_port() - the port that is served
+ * cm_http_server_port() - a port that is served
  * @server: the server
+ * @site: number of the address
  *
  * Return: the TCP port, or 0.
  */
-uint16_t cm_http_server_port(const struct cm_http_server *server);
+uint16_t cm_http_server_port(const struct cm_http_server *server, size_t site);
 
 /**
  * cm_http_server_finish() - stop serving
--- a/src/adapters/reach_probe.c
+++ b/src/adapters/reach_probe.c
@@ -19,12 +19,14 @@
 	probe->fd = -1;
 }
 
-void cm_reach_probe_start(struct cm_reach_probe *probe,
-			  const struct cm_endpoint *address)
+void cm_reach_probe_start(struct cm_reach_probe *probe, uint32_t token,
+			  const struct cm_endpoint *address, uint64_t now_ms)
 {
 	struct sockaddr_in to = cm_socket_address(address);
 
 	cm_reach_probe_finish(probe);
+	probe->token = token;
+	probe->began_ms = now_ms;
 	probe->fd =
 		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (probe->fd < 0)
--- a/src/adapters/reach_probe.h
+++ b/src/adapters/reach_probe.h
@@ -13,9 +13,13 @@
 /**
  * struct cm_reach_probe - a try
  * @fd: socket of the try in progress, or -1
+ * @token: names the server
+ * @began_ms: when the try began
  */
 struct cm_reach_probe {
 	int fd;
+	uint32_t token;
+	uint64_t began_ms;
 };
 
 /**
@@ -27,10 +31,12 @@
 /**
  * cm_reach_probe_start() - begin a try; one in progress is given up
  * @probe: the probe
+ * @token: names the server
  * @address: where the server listens
+ * @now_ms: current time
  */
-void cm_reach_probe_start(struct cm_reach_probe *probe,
-			  const struct cm_endpoint *address);
+void cm_reach_probe_start(struct cm_reach_probe *probe, uint32_t token,
+			  const struct cm_endpoint *address, uint64_t now_ms);
 
 /**
  * cm_reach_probe_check() - whether the try in progress has succeeded
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -9,6 +9,7 @@
 	bool was_suspected = health->unanswered > 0;
 
 	health->unanswered = 0;
+	health->probes = 0;
 	health->answered_ms = now_ms;
 	return was_suspected;
 }
@@ -18,9 +19,9 @@
 {
 	if (health->answered_ms && sent_ms < health->answered_ms)
 		return false;
-	if (!health->unanswered)
-		health->silent_since_ms = sent_ms;
 	health->unanswered++;
+	health->unanswered_ms = sent_ms;
+	health->is_reached = false;
 	return health->unanswered == 1;
 }
 
@@ -41,18 +42,44 @@
 	return health->unanswered > 0;
 }
 
-bool cm_server_health_may_try(const struct cm_server_health *health,
-			      uint64_t now_ms)
+static uint64_t probe_pause_ms(const struct cm_server_health *health)
 {
-	uint64_t pause_ms = CM_HEALTH_TRIAL_MS;
+	uint64_t pause_ms = CM_HEALTH_PROBE_MS;
 
-	for (uint32_t i = 1; i < health->unanswered; i++)
-		if (pause_ms < CM_HEALTH_TRIAL_MAX_MS)
+	for (uint32_t i = 1; i < health->probes; i++)
+		if (pause_ms < CM_HEALTH_PROBE_MAX_MS)
 			pause_ms *= 2;
-	return now_ms >= health->trial_ms + pause_ms;
+	return pause_ms;
+}
+
+bool cm_server_health_probe_is_due(const struct cm_server_health *health,
+				   uint64_t now_ms)
+{
+	if (!health->unanswered || health->is_reached)
+		return false;
+	return !health->probes ||
+	       now_ms >= health->probed_ms + probe_pause_ms(health);
+}
+
+void cm_server_health_probed(struct cm_server_health *health, uint64_t now_ms)
+{
+	health->probes++;
+	health->probed_ms = now_ms;
+}
+
+void cm_server_health_reached(struct cm_server_health *health)
+{
+	health->is_reached = true;
+}
+
+bool cm_server_health_may_try(const struct cm_server_health *health)
+{
+	return !health->unanswered || health->is_reached;
 }
 
 void cm_server_health_tried(struct cm_server_health *health, uint64_t now_ms)
 {
-	health->trial_ms = now_ms;
+	health->tried_ms = now_ms;
+	if (health->unanswered)
+		health->is_reached = false;
 }
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -15,6 +15,8 @@
 #define LAST_REPEAT 2
 /** SYNs in a row without any answer by which the node is cut off. */
 #define CUT_OFF_SYNS 4
+/** Time between probes while the node is cut off, ms. */
+#define CUT_OFF_PROBE_MS 400
 
 void cm_steer_init(struct cm_steer *steer, const struct cm_steer_config *config)
 {
@@ -113,8 +115,7 @@
 
 	cm_steer_flows_settle(&steer->flows, flow, false);
 	count_closed(server);
-	if (!steer->silent_syns++)
-		steer->silent_since_ms = flow->syn_ms;
+	steer->silent_syns++;
 	cm_counters_add(&steer->counters, CM_C_STEER_SYN_UNANSWERED);
 	if (server &&
 	    cm_server_health_unanswered(&server->health, flow->syn_ms))
@@ -362,30 +363,53 @@
 	return next;
 }
 
-bool cm_steer_unreached(struct cm_steer *steer, uint64_t now_ms,
-			struct cm_endpoint *address)
+static struct cm_steer_server *suspect_to_probe(struct cm_steer *steer,
+						uint64_t now_ms)
 {
-	struct cm_steer_server *server = NULL;
+	struct cm_steer_server *server;
+
+	TAILQ_FOREACH (server, &steer->servers.all, link)
+		if (cm_steer_server_is_usable(steer, server, now_ms) &&
+		    cm_server_health_probe_is_due(&server->health, now_ms))
+			return server;
+	return NULL;
+}
+
+uint32_t cm_steer_next_probe(struct cm_steer *steer, uint64_t now_ms,
+			     struct cm_endpoint *address)
+{
+	struct cm_steer_server *server;
+	uint32_t token = 0;
 
 	pthread_mutex_lock(&steer->lock);
-	if (is_cut_off(steer))
+	server = suspect_to_probe(steer, now_ms);
+	if (!server && is_cut_off(steer) &&
+	    now_ms >= steer->probed_ms + CUT_OFF_PROBE_MS) {
 		server = next_to_try(steer, now_ms);
+		if (server)
+			server->chosen = ++steer->choices;
+	}
 	if (server) {
-		server->chosen = ++steer->choices;
+		steer->probed_ms = now_ms;
+		cm_server_health_probed(&server->health, now_ms);
 		*address = server->entry.address;
+		token = server->token;
 	}
 	pthread_mutex_unlock(&steer->lock);
-	return server;
+	if (token)
+		cm_counters_add(&steer->counters, CM_C_STEER_PROBES);
+	return token;
 }
 
-void cm_steer_reached(struct cm_steer *steer)
+void cm_steer_reached(struct cm_steer *steer, uint32_t token)
 {
 	struct cm_steer_server *server;
 
 	pthread_mutex_lock(&steer->lock);
+	server = cm_steer_servers_by_token(&steer->servers, token);
 	steer->silent_syns = 0;
-	TAILQ_FOREACH (server, &steer->servers.all, link)
-		server->health.unanswered = 0;
+	if (server)
+		cm_server_health_reached(&server->health);
 	pthread_mutex_unlock(&steer->lock);
 }
 
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -6,7 +6,7 @@
 
 #define PER_MILLE 1000
 /** Cost of leaving the own failure domain, thousandths of a free server. */
-#define REMOTE_COST 500
+#define REMOTE_COST 1000
 /** Cost of a server in its cold start, thousandths of a free server. */
 #define COLD_COST 400
 /** A server is slow from this many thousandths of the usual time on. */
@@ -20,6 +20,8 @@
  * so that a flow waits about as long as it is worked on.
  */
 #define FULL_PER_SLOT 2
+/** Silent servers by which a whole failure domain is in doubt. */
+#define DOUBT_SERVERS 2
 /** Flows that a cold server may get at once, thousandths. */
 #define COLD_BURST 2000
 
@@ -171,6 +173,30 @@
 	return server->cold_tokens >= PER_MILLE;
 }
 
+/*
+ * Several servers of a failure domain are silent and none has answered since:
+ * the domain may be cut off, and its other servers with it.
+ */
+static bool domain_is_in_doubt(const struct cm_steer *steer, const char *domain)
+{
+	const struct cm_steer_server *server;
+	uint64_t silent_ms = 0, answered_ms = 0;
+	uint32_t silent = 0;
+
+	TAILQ_FOREACH (server, &steer->servers.all, link) {
+		const struct cm_server_health *health = &server->health;
+
+		if (strcmp(server->entry.domain, domain) != 0)
+			continue;
+		silent += health->unanswered && server->listing != CM_LEFT;
+		if (health->unanswered && health->unanswered_ms > silent_ms)
+			silent_ms = health->unanswered_ms;
+		if (health->answered_ms > answered_ms)
+			answered_ms = health->answered_ms;
+	}
+	return silent >= DOUBT_SERVERS && answered_ms < silent_ms;
+}
+
 static void look(const struct cm_steer *steer, struct outlook *outlook)
 {
 	const struct cm_choice *choice = outlook->choice;
@@ -196,7 +222,7 @@
 	return server->chosen < best->chosen;
 }
 
-/* Servers that answer; those under suspicion only when a trial is due. */
+/* Servers that answer; those under suspicion once a probe reached them. */
 static bool may_get(const struct cm_steer *steer,
 		    struct cm_steer_server *server,
 		    const struct outlook *outlook)
@@ -206,8 +232,10 @@
 	if (!is_candidate(steer, server, choice) ||
 	    server->token == choice->avoid_token)
 		return false;
-	if (cm_server_health_is_suspected(&server->health) &&
-	    !cm_server_health_may_try(&server->health, choice->now_ms))
+	if (!cm_server_health_may_try(&server->health))
+		return false;
+	if (!server->health.is_reached &&
+	    domain_is_in_doubt(steer, server->entry.domain))
 		return false;
 	return cold_start_allows(steer, server, outlook);
 }
@@ -246,7 +274,7 @@
 		if (!is_candidate(steer, server, outlook->choice) ||
 		    !cold_start_allows(steer, server, outlook))
 			continue;
-		if (!best || server->health.trial_ms < best->health.trial_ms)
+		if (!best || server->health.tried_ms < best->health.tried_ms)
 			best = server;
 	}
 	return best;
--- a/src/daemon/admin_page.c
+++ b/src/daemon/admin_page.c
@@ -2,7 +2,6 @@
 
 #include <glib.h>
 #include <jansson.h>
-#include <microhttpd.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,6 +13,7 @@
 #include "ports/clock.h"
 
 #define MS_PER_S 1000
+#define HTTP_UNAVAILABLE 503
 
 static char *render_metrics(const void *user, unsigned int *status)
 {
@@ -36,7 +36,7 @@
 
 	if (cm_node_version(admin->node))
 		return strdup("ok\n");
-	*status = MHD_HTTP_SERVICE_UNAVAILABLE;
+	*status = HTTP_UNAVAILABLE;
 	return strdup("no-configuration\n");
 }
 
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -25,6 +25,9 @@
 	X(FLOW_REFUSED, INFO, "flow_refused",                                  \
 	  "a packet was dropped or its flow reset; reason says why")           \
 	X(LEAVING, INFO, "leaving", "a graceful shutdown has begun")           \
+	X(LIBRARY, WARNING, "library", "a library has something to say")       \
+	X(LINES_LEFT_OUT, WARNING, "lines_left_out",                           \
+	  "lines of an event were left out over the budget")                   \
 	X(MEMBER_ALIVE, INFO, "member_alive", "another instance takes part")   \
 	X(MEMBER_DEAD, WARNING, "member_dead",                                 \
 	  "another instance is dead or has stopped")                           \
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -1,5 +1,6 @@
 #include "steer_entry.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 
@@ -44,8 +45,7 @@
  * @feed: what it hears of it
  * @peers: its messages to other instances
  * @updates: its registry thread
- * @ready: says whether it is ready
- * @metrics: serves metrics
+ * @pages: says whether it is ready, and serves metrics
  */
 struct steer_entry {
 	struct cm_steer_settings settings;
@@ -56,8 +56,7 @@
 	struct cm_feed feed;
 	struct cm_peer_loop peers;
 	struct cm_registry_loop updates;
-	struct cm_http_server ready;
-	struct cm_http_server metrics;
+	struct cm_http_server pages;
 };
 
 static volatile sig_atomic_t stop_asked;
@@ -119,16 +118,14 @@
 
 static int start_pages(struct steer_entry *entry)
 {
-	int error = cm_http_server_init(&entry->ready, &entry->settings.ready,
-					cm_steer_ready_pages, &entry->steer);
+	const struct cm_http_site sites[] = {
+		{ entry->settings.ready, cm_steer_ready_pages, &entry->steer },
+		{ entry->settings.metrics, cm_steer_metrics_pages,
+		  &entry->steer },
+	};
 
-	if (error)
-		return error;
-	error = cm_http_server_init(&entry->metrics, &entry->settings.metrics,
-				    cm_steer_metrics_pages, &entry->steer);
-	if (error)
-		cm_http_server_finish(&entry->ready);
-	return error;
+	return cm_http_server_init(&entry->pages, sites,
+				   sizeof(sites) / sizeof(*sites));
 }
 
 static int start_updates(struct steer_entry *entry)
@@ -208,8 +205,7 @@
 {
 	struct cm_registry *registry = &entry->registry.base;
 
-	cm_http_server_finish(&entry->metrics);
-	cm_http_server_finish(&entry->ready);
+	cm_http_server_finish(&entry->pages);
 	cm_registry_loop_finish(&entry->updates);
 	cm_peer_loop_finish(&entry->peers);
 	cm_feed_finish(&entry->feed);
@@ -231,6 +227,7 @@
 		return;
 	}
 	cm_log_init(settings.log_level);
+	cm_log_bound(settings.log_lines_per_s);
 	cm_log(CM_EVENT_RELOADED, "name=%s", settings.name);
 }
 
@@ -283,6 +280,9 @@
 
 	entry.settings = *settings;
 	entry.path = path;
+	/* The threads allocate little; an arena for each costs a start time. */
+	mallopt(M_ARENA_MAX, 1);
+	cm_log_bound(settings->log_lines_per_s);
 	catch_signals(&signals);
 	error = start(&entry);
 	if (error)
@@ -296,5 +296,6 @@
 		leave(&entry, &signals);
 	stop(&entry);
 	cm_log(CM_EVENT_STOPPED, "name=%s", settings->name);
+	cm_log_flush();
 	return error;
 }
--- a/src/daemon/steer_loop.c
+++ b/src/daemon/steer_loop.c
@@ -7,8 +7,8 @@
 
 /** Time between ticks, ms. */
 #define TICK_MS 25
-/** Time between tries to reach a server while the node is cut off, ms. */
-#define PROBE_MS 400
+/** Longest time of a probe while others wait, ms. */
+#define PROBE_MOST_MS 200
 
 int cm_steer_loop_init(struct cm_steer_loop *loop, struct cm_steer *steer,
 		       const struct cm_fabric_ops *fabric,
@@ -18,32 +18,44 @@
 	loop->fabric = fabric;
 	loop->caller_port = address->port;
 	loop->ticked_ms = cm_clock_ms();
-	loop->probed_ms = 0;
-	cm_reach_probe_init(&loop->probe);
+	for (int i = 0; i < CM_STEER_PROBES; i++)
+		cm_reach_probe_init(&loop->probes[i]);
 	return cm_udp_batch_init(&loop->batch, address);
 }
 
 void cm_steer_loop_finish(struct cm_steer_loop *loop)
 {
-	cm_reach_probe_finish(&loop->probe);
+	for (int i = 0; i < CM_STEER_PROBES; i++)
+		cm_reach_probe_finish(&loop->probes[i]);
 	cm_udp_batch_finish(&loop->batch);
 }
 
-/* While no server answers, the fabric gives no flows that could tell more. */
-static void probe(struct cm_steer_loop *loop, uint64_t now_ms)
+static void check_probe(struct cm_steer_loop *loop,
+			struct cm_reach_probe *probe)
 {
-	struct cm_endpoint address;
+	uint32_t token = probe->token;
 
-	if (cm_reach_probe_check(&loop->probe)) {
-		cm_steer_reached(loop->steer);
-		cm_log(CM_EVENT_REACHED, "outcome=ready");
-	}
-	if (now_ms < loop->probed_ms + PROBE_MS ||
-	    !cm_steer_unreached(loop->steer, now_ms, &address))
+	if (!cm_reach_probe_check(probe))
 		return;
-	loop->probed_ms = now_ms;
-	cm_counters_add(&loop->steer->counters, CM_C_STEER_CUT_OFF);
-	cm_reach_probe_start(&loop->probe, &address);
+	cm_steer_reached(loop->steer, token);
+	cm_log(CM_EVENT_REACHED, "token=%08x", token);
+}
+
+/* A probe that takes longer than the pause to the next one is given up. */
+static void probe_servers(struct cm_steer_loop *loop, uint64_t now_ms)
+{
+	for (int i = 0; i < CM_STEER_PROBES; i++) {
+		struct cm_reach_probe *probe = &loop->probes[i];
+		struct cm_endpoint address;
+		uint32_t token;
+
+		check_probe(loop, probe);
+		if (probe->fd >= 0 && now_ms < probe->began_ms + PROBE_MOST_MS)
+			continue;
+		token = cm_steer_next_probe(loop->steer, now_ms, &address);
+		if (token)
+			cm_reach_probe_start(probe, token, &address, now_ms);
+	}
 }
 
 static void forward(struct cm_steer_loop *loop, struct cm_datagram *datagram,
@@ -120,7 +132,8 @@
 	if (now_ms < loop->ticked_ms + TICK_MS)
 		return;
 	cm_steer_tick(loop->steer, now_ms);
-	probe(loop, now_ms);
+	probe_servers(loop, now_ms);
+	cm_log_flush();
 	loop->ticked_ms = now_ms;
 }
 
--- a/src/daemon/steer_loop.h
+++ b/src/daemon/steer_loop.h
@@ -12,6 +12,9 @@
 #include "chervilmast/steer.h"
 #include "ports/fabric.h"
 
+/** Most probes in progress. */
+#define CM_STEER_PROBES 4
+
 /**
  * struct cm_steer_loop - a packet loop
  * @steer: the node
@@ -20,8 +23,7 @@
  * @batch: the socket
  * @resets: room for the resets of a batch
  * @ticked_ms: when the node was last ticked
- * @probe: tries a server while the node seems to be cut off
- * @probed_ms: when the last try began
+ * @probes: probes of servers that did not answer
  */
 struct cm_steer_loop {
 	struct cm_steer *steer;
@@ -30,8 +32,7 @@
 	struct cm_udp_batch batch;
 	uint8_t resets[CM_UDP_BATCH][CM_FABRIC_RESET_MAX];
 	uint64_t ticked_ms;
-	struct cm_reach_probe probe;
-	uint64_t probed_ms;
+	struct cm_reach_probe probes[CM_STEER_PROBES];
 };
 
 /**
