--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -1,17 +1,17 @@
 #include "http_server.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "chervilmast/error.h"
 #include "socket.h"
 
-#define HOST_SIZE 16
+#define BACKLOG 64
 #define IDLE_TIMEOUT_S 10
 #define METHODS "GET, HEAD"
 #define ALL_METHODS                                                            \
@@ -96,21 +96,37 @@
 	return NULL;
 }
 
-static int listen_at(struct evhttp *http, struct cm_endpoint *address)
+/* Bound here, as the library would look the address up like a name. */
+static int open_listener(struct cm_endpoint *address)
 {
 	struct sockaddr_in bound = cm_socket_address(address);
 	socklen_t size = sizeof(bound);
-	char host[HOST_SIZE];
-	struct evhttp_bound_socket *socket;
+	int on = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&bound, sizeof(bound)) < 0 ||
+	    listen(fd, BACKLOG) < 0 ||
+	    getsockname(fd, (struct sockaddr *)&bound, &size) < 0) {
+		close(fd);
+		return -1;
+	}
+	address->port = ntohs(bound.sin_port);
+	return fd;
+}
 
-	if (!inet_ntop(AF_INET, &bound.sin_addr, host, sizeof(host)))
-		return CM_E_IO;
-	socket = evhttp_bind_socket_with_handle(http, host, address->port);
-	if (!socket || getsockname(evhttp_bound_socket_get_fd(socket),
-				   (struct sockaddr *)&bound, &size) < 0)
+static int listen_at(struct evhttp *http, struct cm_endpoint *address)
+{
+	int fd = open_listener(address);
+
+	if (fd < 0)
 		return CM_E_IO;
-	address->port = ntohs(bound.sin_port);
-	return CM_OK;
+	if (evhttp_accept_socket_with_handle(http, fd))
+		return CM_OK;
+	close(fd);
+	return CM_E_IO;
 }
 
 static int add_site(struct cm_http_server *server,
