--- a/src/config/steer_settings.c
+++ b/src/config/steer_settings.c
@@ -19,7 +19,7 @@
 #define FLOWS_MAX 10000000
 #define FLOWS_DEFAULT 65536
 #define LOG_LINES_MAX 100000
-#define LOG_LINES_DEFAULT 50
+#define LOG_LINES_DEFAULT 200
 
 #define NAME_FIELD(name, member)                                     \
 	{                                                            \
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -1,6 +1,8 @@
 #include "chervilmast/server_health.h"
 
 #define EIGHTHS 8
+/** Probes after which they are as rare as they get. */
+#define PROBES_UNTIL_RARE 4
 /** Longest time of a flow that is taken for work of the server, ms. */
 #define SERVICE_MAX_MS 10000
 
@@ -21,6 +23,9 @@
 		return false;
 	health->unanswered++;
 	health->unanswered_ms = sent_ms;
+	/* A probe that reached it said too much: the next one can wait. */
+	if (health->unanswered > 1 && health->probes)
+		health->probes = PROBES_UNTIL_RARE;
 	health->is_reached = false;
 	return health->unanswered == 1;
 }
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -10,7 +10,7 @@
 /** Longest step of the clock that stands while the node is paused, ms. */
 #define ACTIVE_STEP_MS 60
 /** Time without packets after which a flow is forgotten, ms. */
-#define FLOW_IDLE_MS 5000
+#define FLOW_IDLE_MS 1500
 /** Number of SYNs of a flow before the last one. */
 #define LAST_REPEAT 2
 /** SYNs in a row without any answer by which the node is cut off. */
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -18,6 +18,8 @@
 #define ASK_EACH_MS 10
 /** Time between renewals of the node's own entry, ms. */
 #define ANNOUNCE_MS (CM_REGISTRY_ENTRY_MS / 3)
+/** Time to the next try to renew it after one that failed, ms. */
+#define ANNOUNCE_RETRY_MS 1000
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 #define NS_PER_S 1000000000
@@ -73,18 +75,21 @@
 	return error;
 }
 
+/* An entry that has gone is entered anew at once. */
 static void announce(struct cm_registry_loop *loop)
 {
 	uint64_t now_ms = cm_clock_ms();
 	int error;
 
-	if (loop->announced_ms && now_ms < loop->announced_ms + ANNOUNCE_MS)
+	if (now_ms < loop->announce_ms)
 		return;
 	error = loop->registry->ops->announce(loop->registry,
 					      &loop->peers->self);
-	if (!error)
-		loop->announced_ms = now_ms;
-	else
+	if (error == CM_E_NOT_FOUND)
+		error = loop->registry->ops->announce(loop->registry,
+						      &loop->peers->self);
+	loop->announce_ms = now_ms + (error ? ANNOUNCE_RETRY_MS : ANNOUNCE_MS);
+	if (error)
 		cm_log(CM_EVENT_ANNOUNCE_FAILED, "error=%s",
 		       cm_error_name(error));
 }
--- a/src/daemon/registry_loop.h
+++ b/src/daemon/registry_loop.h
@@ -22,7 +22,7 @@
  * @registry: the registry
  * @settings: settings of the process
  * @wait_ms: longest wait for changes in one call
- * @announced_ms: when the node's entry was last kept; 0 for never
+ * @announce_ms: when the node's entry is to be kept next
  * @is_reachable: the last call to the registry was answered
  * @next_seed: number of the seed to ask next
  * @counted: calls that were counted so far
@@ -38,7 +38,7 @@
 	struct cm_registry *registry;
 	const struct cm_steer_settings *settings;
 	uint32_t wait_ms;
-	uint64_t announced_ms;
+	uint64_t announce_ms;
 	bool is_reachable;
 	size_t next_seed;
 	uint64_t counted;
