Run the real program as processes among stand-ins, with faults from outside

tests/process plays the fabric, callers, backend servers and the platform's store on loopback, starts six instances and draws faults from a seed: SIGKILL, SIGTERM, SIGSTOP, SIGHUP, all killed at once, servers that fall silent or drain, a failure domain taken out, lost packets, the store down, busy, silent, lying or losing answers, and a TCP proxy before it that delays, resets, cuts one way or silences. It checks what callers and servers see: whole answers of the own request, at most one run of a request that is not idempotent, no reset of an open flow, nothing new at a drained server, no end of a process by itself, a stop within its bound, nothing failed in calm.

--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 INCLUDE_DIR = $(DESTDIR)$(PREFIX)/include/chervilmast
 LIB_DIR = $(DESTDIR)$(PREFIX)/lib
 
-.PHONY: all install embed packages packet-rate run tsan check unit soak \
+.PHONY: soak-processes process-check all install embed packages packet-rate run tsan check unit soak \
 	soak-check mutants measure measure-admission membership-figures \
 	format format-check lint clean
 .SECONDARY:
@@ -106,6 +106,13 @@
 	@echo "LD $@"
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(LIBS)
 
+# The real program as processes among stand-ins, with faults from outside.
+$(BUILD)/process: $(call object,$(wildcard tests/process/*.c) $(FAKE) \
+		tests/standin/platform_store.c $(SHELL_SRC)) \
+		$(BUILD)/libchervilmast.a
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(TEST_LIBS) $(LIBS)
+
 $(BUILD)/membership-figures: $(call object,bench/programs/membership.c $(FAKE) \
 		$(SHELL_SRC)) $(BUILD)/libchervilmast.a
 	@echo "LD $@"
@@ -174,6 +181,18 @@
 soak-check: $(BUILD)/soak
 	tests/scripts/soak.sh $(BUILD)/soak $(SOAK_SEEDS)
 
+# The real program as processes, with faults from outside.
+SECONDS = 60
+soak-processes: packages
+	$(MAKE) $(BUILD)/chervilmast $(BUILD)/process
+	tests/scripts/process.sh $(BUILD) $(SECONDS) $(SEED)
+
+# A short seeded part of it.
+PROCESS_SEEDS = 2 7
+process-check: packages
+	$(MAKE) $(BUILD)/chervilmast $(BUILD)/process
+	tests/scripts/process.sh $(BUILD) 8 $(PROCESS_SEEDS)
+
 # Switches off each mechanism in turn; the tests must fail.
 mutants: packages
 	$(MAKE) BUILD=$(BUILD)/mutants CFLAGS="$(CFLAGS) -DCM_TEST_SWITCHES" \
--- /dev/null
+++ b/tests/process/caller.c
@@ -0,0 +1,296 @@
+#include "process/process.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define CALLER_GROUP 20
+#define SERVICE_GROUP 30
+#define SERVICE_PORT 443
+#define CALLS_MAX 512
+#define FIRST_PORT 1024
+#define PORTS 60000
+#define SUM 0xca11
+#define FIRST_COPY_MS 200
+#define SECOND_COPY_MS 600
+#define ATTEMPT_MS 1400
+#define BUDGET_MS 4000
+#define RETRIES 3
+#define RETRY_PAUSE_MS 30
+#define RESEND_MS 200
+#define RESEND_MAX_MS 1600
+#define PER_MILLE 1000
+
+enum state { FREE, PAUSED, OPENING, OPEN };
+
+/**
+ * struct call - a request in progress
+ * @began_ms: when the first attempt began
+ * @attempt_ms: when the present one began, or is to begin
+ * @resend_ms: when its data are sent again
+ * @pause_ms: pause until then
+ * @state: where it stands
+ * @request: its number
+ * @domain: failure domain of the caller
+ * @attempts: attempts so far
+ * @copies: SYNs of the present one sent before
+ * @seq: sequence number
+ * @server_seq: of the server
+ * @echo: last token that came
+ * @port: its port
+ * @is_idempotent: it may be run more than once
+ */
+struct call {
+	uint64_t began_ms;
+	uint64_t attempt_ms;
+	uint64_t resend_ms;
+	uint64_t pause_ms;
+	enum state state;
+	uint32_t request;
+	int domain;
+	uint32_t attempts;
+	uint32_t copies;
+	uint32_t seq;
+	uint32_t server_seq;
+	uint32_t echo;
+	uint16_t port;
+	bool is_idempotent;
+};
+
+static struct call calls[CALLS_MAX];
+static struct fake_random *rng;
+static int fd;
+static struct sockaddr_in self, service;
+static uint32_t next_request, next_port;
+static unsigned int drop_per_mille;
+static struct callers_result result;
+
+void callers_start(struct fake_random *random)
+{
+	rng = random;
+	self = address(CALLER_GROUP, 1, PROCESS_PACKET_PORT);
+	service = address(SERVICE_GROUP, 1, SERVICE_PORT);
+	fd = udp_open(&self);
+}
+
+int callers_fd(void)
+{
+	return fd;
+}
+
+void callers_drop(unsigned int per_mille)
+{
+	drop_per_mille = per_mille;
+}
+
+struct callers_result callers_result(void)
+{
+	return result;
+}
+
+bool callers_are_done(void)
+{
+	for (int i = 0; i < CALLS_MAX; i++)
+		if (calls[i].state != FREE)
+			return false;
+	return true;
+}
+
+static bool is_lost(void)
+{
+	return drop_per_mille &&
+	       fake_random_below(rng, PER_MILLE) < drop_per_mille;
+}
+
+/* An instance of the caller's domain by hash of the port, else any ready. */
+static int route(const struct call *call)
+{
+	int first = call->domain * PROCESS_INSTANCES;
+	int usable[PROCESS_ALL_INSTANCES];
+	int count = 0;
+
+	for (int i = first; i < first + PROCESS_INSTANCES; i++)
+		if (instance_ready(i))
+			usable[count++] = i;
+	for (int i = 0; !count && i < PROCESS_ALL_INSTANCES; i++)
+		if (instance_ready(i))
+			usable[count++] = i;
+	if (!count)
+		return first + call->port % PROCESS_INSTANCES;
+	return usable[call->port * 2654435761U % (unsigned int)count];
+}
+
+static void send_call(const struct call *call, uint8_t flags, uint32_t ack,
+		      bool with_data)
+{
+	struct packet packet = {
+		.flags = flags,
+		.sum = SUM,
+		.seq = call->seq,
+		.ack = ack,
+		.echo = call->echo,
+		.from = self,
+		.to = service,
+	};
+	struct sockaddr_in to = instance_address(route(call));
+	uint8_t bytes[PACKET_MAX];
+
+	packet.from.sin_port = htons(call->port);
+	if (with_data) {
+		memcpy(packet.data, &call->request, sizeof(call->request));
+		packet.length = sizeof(call->request);
+	}
+	if (!is_lost())
+		sendto(fd, bytes, packet_write(&packet, bytes), 0,
+		       (struct sockaddr *)&to, sizeof(to));
+}
+
+static void begin_attempt(struct call *call, uint64_t now)
+{
+	call->state = OPENING;
+	call->attempts++;
+	call->attempt_ms = now;
+	call->copies = 0;
+	call->echo = 0;
+	call->port = (uint16_t)(FIRST_PORT + next_port++ % PORTS);
+	call->seq = (uint32_t)fake_random_next(rng);
+	send_call(call, PACKET_SYN, 0, false);
+}
+
+static void begin(uint64_t now)
+{
+	for (int i = 0; i < CALLS_MAX; i++) {
+		struct call *call = &calls[i];
+
+		if (call->state != FREE)
+			continue;
+		memset(call, 0, sizeof(*call));
+		call->request = ++next_request;
+		call->is_idempotent = fake_random_below(rng, 3) != 0;
+		call->domain = (int)fake_random_below(rng, PROCESS_DOMAINS);
+		call->began_ms = now;
+		begin_attempt(call, now);
+		return;
+	}
+}
+
+static void end(struct call *call, bool served)
+{
+	if (served)
+		result.served++;
+	else
+		result.failed++;
+	if (!served && call->began_ms > calm_since() + PROCESS_CALM_MS)
+		result.late_failed++;
+	if (!call->is_idempotent && server_runs(call->request) > 1)
+		violation("request %u was run %u times", call->request,
+			  server_runs(call->request));
+	call->state = FREE;
+}
+
+static void retry(struct call *call, uint64_t now, bool may_have_run)
+{
+	if (call->attempts > RETRIES || now > call->began_ms + BUDGET_MS ||
+	    (may_have_run && !call->is_idempotent)) {
+		end(call, false);
+		return;
+	}
+	call->state = PAUSED;
+	call->attempt_ms = now + RETRY_PAUSE_MS;
+}
+
+static void take(struct call *call, const struct packet *packet, uint64_t now)
+{
+	uint32_t answered;
+
+	if (packet->flags & PACKET_RST) {
+		if (!packet->sum && call->state == OPEN)
+			violation("open flow of request %u was reset",
+				  call->request);
+		retry(call, now, call->state == OPEN);
+		return;
+	}
+	call->echo = packet->echo;
+	if (packet->flags & PACKET_SYN) {
+		if (call->state == OPENING) {
+			call->server_seq = packet->seq;
+			call->seq++;
+		}
+		call->state = OPEN;
+		call->pause_ms = RESEND_MS;
+		call->resend_ms = now + call->pause_ms;
+		send_call(call, PACKET_ACK, call->server_seq + 1, true);
+		return;
+	}
+	if (call->state != OPEN || packet->length < sizeof(answered))
+		return;
+	memcpy(&answered, packet->data, sizeof(answered));
+	if (answered != call->request)
+		violation("request %u got the answer to %u", call->request,
+			  answered);
+	send_call(call, PACKET_ACK | PACKET_FIN, packet->seq + packet->length,
+		  false);
+	end(call, true);
+}
+
+static void receive(uint64_t now)
+{
+	uint8_t bytes[PACKET_MAX];
+	struct packet packet;
+	ssize_t got;
+
+	while ((got = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+		if (!packet_read(&packet, bytes, (size_t)got) || is_lost())
+			continue;
+		for (int i = 0; i < CALLS_MAX; i++)
+			if (calls[i].state > PAUSED &&
+			    htons(calls[i].port) == packet.to.sin_port)
+				take(&calls[i], &packet, now);
+	}
+}
+
+static void repeat_syn(struct call *call, uint64_t now)
+{
+	static const uint64_t at_ms[] = { FIRST_COPY_MS, SECOND_COPY_MS };
+
+	if (call->copies < 2 && now >= call->attempt_ms + at_ms[call->copies]) {
+		call->copies++;
+		send_call(call, PACKET_SYN, call->copies, false);
+	}
+	if (now >= call->attempt_ms + ATTEMPT_MS)
+		retry(call, now, false);
+}
+
+static void resend(struct call *call, uint64_t now)
+{
+	if (now >= call->began_ms + BUDGET_MS) {
+		end(call, false);
+		return;
+	}
+	if (now < call->resend_ms)
+		return;
+	if (call->pause_ms < RESEND_MAX_MS)
+		call->pause_ms *= 2;
+	call->resend_ms = now + call->pause_ms;
+	send_call(call, PACKET_ACK, call->server_seq + 1, true);
+}
+
+void callers_poll(unsigned int count)
+{
+	uint64_t now = now_ms();
+
+	receive(now);
+	for (int i = 0; i < CALLS_MAX; i++) {
+		struct call *call = &calls[i];
+
+		if (call->state == PAUSED && now >= call->attempt_ms)
+			begin_attempt(call, now);
+		else if (call->state == OPENING)
+			repeat_syn(call, now);
+		else if (call->state == OPEN)
+			resend(call, now);
+	}
+	while (count--)
+		begin(now);
+}
--- /dev/null
+++ b/tests/process/instance.c
@@ -0,0 +1,251 @@
+#include "process/process.h"
+
+#include <arpa/inet.h>
+#include <ck_pr.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "adapters/http_client.h"
+#include "chervilmast/error.h"
+#include "ports/clock.h"
+
+#define INSTANCE_GROUP 1
+#define READY_PORT 18167
+#define METRICS_PORT 19100
+#define CONTROL_PORT 18166
+#define PATH_SIZE 256
+#define RESTART_MS 300
+#define READY_MS 250
+#define READY_TIMEOUT_MS 400
+#define MISSES 2
+#define HTTP_OK 200
+
+/**
+ * struct instance - a process of the program
+ * @restart_ms: when it is started again
+ * @end_by_ms: when it has to be gone after SIGTERM
+ * @pid: the process; 0 while there is none
+ * @misses: times in a row that it was not ready; guarded by ck_pr
+ * @is_stopping: SIGTERM was sent
+ * @is_killed: SIGKILL was sent
+ */
+struct instance {
+	uint64_t restart_ms;
+	uint64_t end_by_ms;
+	pid_t pid;
+	uint32_t misses;
+	bool is_stopping;
+	bool is_killed;
+};
+
+static struct instance instances[PROCESS_ALL_INSTANCES];
+static pthread_t watchers[PROCESS_ALL_INSTANCES];
+static const char *binary;
+static const char *directory;
+static uint16_t store;
+static uint32_t is_over;
+
+struct sockaddr_in instance_address(int instance)
+{
+	return address(INSTANCE_GROUP, 1 + (unsigned int)instance,
+		       PROCESS_PACKET_PORT);
+}
+
+static void settings_path(int instance, char *path)
+{
+	snprintf(path, PATH_SIZE, "%s/i-%d.json", directory, instance);
+}
+
+static void write_settings(int instance)
+{
+	struct sockaddr_in at = instance_address(instance);
+	struct sockaddr_in seed = instance_address(0);
+	char path[PATH_SIZE], ip[INET_ADDRSTRLEN], seed_ip[INET_ADDRSTRLEN];
+	FILE *file;
+
+	inet_ntop(AF_INET, &at.sin_addr, ip, sizeof(ip));
+	inet_ntop(AF_INET, &seed.sin_addr, seed_ip, sizeof(seed_ip));
+	settings_path(instance, path);
+	file = fopen(path, "w");
+	if (!file) {
+		perror(path);
+		exit(EXIT_FAILURE);
+	}
+	fprintf(file,
+		"{\"name\":\"i-%d\",\"failure_domain\":\"%c\","
+		"\"packets\":\"%s:%d\",\"ready\":\"%s:%d\","
+		"\"metrics\":\"%s:%d\",\"control\":\"%s:%d\","
+		"\"seeds\":[\"%s:%d\"],\"store_url\":\"http://127.0.0.1:%u\","
+		"\"server_leave_ms\":%d,\"domain_out_ms\":5000,"
+		"\"plan_ms\":3000,\"flow_life_s\":60,\"stop_timeout_s\":%d}\n",
+		instance, 'a' + instance / PROCESS_INSTANCES, ip,
+		PROCESS_PACKET_PORT, ip, READY_PORT, ip, METRICS_PORT, ip,
+		CONTROL_PORT, seed_ip, CONTROL_PORT, store, PROCESS_DRAIN_MS,
+		PROCESS_GRACE_MS / 1000);
+	fclose(file);
+}
+
+static void run_program(int instance)
+{
+	char path[PATH_SIZE], log[PATH_SIZE];
+	int fd;
+
+	settings_path(instance, path);
+	snprintf(log, sizeof(log), "%s/i-%d.log", directory, instance);
+	fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+	if (fd >= 0) {
+		dup2(fd, STDOUT_FILENO);
+		dup2(fd, STDERR_FILENO);
+	}
+	execl(binary, binary, "steer", "--settings", path, (char *)NULL);
+	_exit(127);
+}
+
+static void start(int instance)
+{
+	struct instance *self = &instances[instance];
+
+	self->is_stopping = false;
+	self->is_killed = false;
+	self->restart_ms = 0;
+	ck_pr_store_32(&self->misses, MISSES);
+	self->pid = fork();
+	if (!self->pid)
+		run_program(instance);
+	if (self->pid < 0) {
+		perror("fork");
+		exit(EXIT_FAILURE);
+	}
+}
+
+void instances_start(const char *program, const char *dir, uint16_t store_port)
+{
+	binary = program;
+	directory = dir;
+	store = store_port;
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++) {
+		write_settings(i);
+		start(i);
+	}
+}
+
+void instance_signal(int instance, int signal)
+{
+	struct instance *self = &instances[instance];
+
+	if (!self->pid)
+		return;
+	if (signal == SIGKILL)
+		self->is_killed = true;
+	kill(self->pid, signal);
+}
+
+void instance_stop(int instance)
+{
+	struct instance *self = &instances[instance];
+
+	if (!self->pid || self->is_stopping)
+		return;
+	self->is_stopping = true;
+	self->end_by_ms = now_ms() + PROCESS_GRACE_MS;
+	kill(self->pid, SIGTERM);
+}
+
+static void note_end(int instance, int status)
+{
+	struct instance *self = &instances[instance];
+	bool ended_well = WIFEXITED(status) && !WEXITSTATUS(status);
+
+	if (!self->is_killed && !(self->is_stopping && ended_well))
+		violation("instance %d ended by itself, status %x", instance,
+			  status);
+	self->pid = 0;
+	self->restart_ms = now_ms() + RESTART_MS;
+}
+
+void instances_check(void)
+{
+	uint64_t now = now_ms();
+
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++) {
+		struct instance *self = &instances[i];
+		int status;
+
+		if (self->pid && waitpid(self->pid, &status, WNOHANG) > 0)
+			note_end(i, status);
+		if (!self->pid && now >= self->restart_ms)
+			start(i);
+		if (self->pid && self->is_stopping && !self->is_killed &&
+		    now > self->end_by_ms && now > calm_since()) {
+			violation("instance %d did not stop in time", i);
+			self->end_by_ms = now + PROCESS_GRACE_MS;
+		}
+	}
+}
+
+void instances_finish(void)
+{
+	ck_pr_store_32(&is_over, 1);
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++)
+		pthread_join(watchers[i], NULL);
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++) {
+		if (!instances[i].pid)
+			continue;
+		kill(instances[i].pid, SIGCONT);
+		kill(instances[i].pid, SIGKILL);
+		waitpid(instances[i].pid, NULL, 0);
+	}
+}
+
+bool instance_ready(int instance)
+{
+	return ck_pr_load_32(&instances[instance].misses) < MISSES;
+}
+
+static bool ask_ready(struct cm_http_client *client)
+{
+	const struct cm_http_request request = {
+		.path = "/-/ready",
+		.timeout_ms = READY_TIMEOUT_MS,
+	};
+	struct cm_http_answer answer;
+	bool ready = !cm_http_call(client, &request, &answer) &&
+		     answer.status == HTTP_OK;
+
+	cm_http_answer_finish(&answer);
+	return ready;
+}
+
+static void *watch(void *user)
+{
+	struct instance *self = user;
+	struct sockaddr_in at = instance_address((int)(self - instances));
+	struct cm_http_client client;
+	char ip[INET_ADDRSTRLEN], url[PATH_SIZE];
+
+	inet_ntop(AF_INET, &at.sin_addr, ip, sizeof(ip));
+	snprintf(url, sizeof(url), "http://%s:%d", ip, READY_PORT);
+	if (cm_http_client_init(&client, url))
+		return NULL;
+	while (!ck_pr_load_32(&is_over)) {
+		if (ask_ready(&client))
+			ck_pr_store_32(&self->misses, 0);
+		else
+			ck_pr_inc_32(&self->misses);
+		cm_clock_sleep_ms(READY_MS);
+	}
+	cm_http_client_finish(&client);
+	return NULL;
+}
+
+void instances_watch(void)
+{
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++)
+		pthread_create(&watchers[i], NULL, watch, &instances[i]);
+}
--- /dev/null
+++ b/tests/process/main.c
@@ -0,0 +1,273 @@
+/*
+ * process SEED SECONDS PROGRAM DIRECTORY [NET]: runs instances of PROGRAM for
+ * SECONDS with faults drawn from SEED, then in calm, and prints what came of
+ * the requests. Without SECONDS of faults (0) one instance is stopped, one
+ * killed, and one server drained, at fixed times.
+ */
+#include <arpa/inet.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "process/process.h"
+#include "process/proxy.h"
+
+#define REQUESTS_PER_S 100
+#define MS_PER_S 1000
+#define WARM_UP_MS 3000
+#define CALM_RUN_MS 10000
+#define PLAIN_RUN_MS 8000
+#define STEP_MS 2
+#define FAULT_LEAST_MS 400
+#define FAULT_MORE_MS 2200
+#define LAST_MOST_MS 3500
+#define SERVED_LEAST 200
+
+static struct fake_random rng;
+static struct platform_standin store;
+static uint64_t store_until_ms, proxy_until_ms, loss_until_ms, out_until_ms;
+static uint64_t paused_until_ms[PROCESS_ALL_INSTANCES];
+
+static uint64_t last_ms(void)
+{
+	return now_ms() + FAULT_LEAST_MS +
+	       fake_random_below(&rng, LAST_MOST_MS);
+}
+
+static int any_instance(void)
+{
+	return (int)fake_random_below(&rng, PROCESS_ALL_INSTANCES);
+}
+
+static int any_slot(void)
+{
+	return (int)fake_random_below(&rng, PROCESS_SLOTS);
+}
+
+static void kill_one(void)
+{
+	instance_signal(any_instance(), SIGKILL);
+	fault_at(now_ms() + MS_PER_S);
+}
+
+static void kill_all(void)
+{
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++)
+		instance_signal(i, SIGKILL);
+	fault_at(now_ms() + 2 * MS_PER_S);
+}
+
+static void stop_one(void)
+{
+	instance_stop(any_instance());
+	fault_at(now_ms() + PROCESS_GRACE_MS);
+}
+
+static void pause_one(void)
+{
+	int instance = any_instance();
+
+	paused_until_ms[instance] = last_ms();
+	instance_signal(instance, SIGSTOP);
+	fault_at(paused_until_ms[instance] + MS_PER_S);
+}
+
+static void hang_up_one(void)
+{
+	instance_signal(any_instance(), SIGHUP);
+}
+
+static void darken(void)
+{
+	server_go_dark(any_slot());
+}
+
+static void drain(void)
+{
+	server_drain(any_slot());
+}
+
+static void harm_store(void)
+{
+	enum platform_fault fault =
+		1 + fake_random_below(&rng, PLATFORM_FAULT_COUNT - 1);
+
+	platform_standin_set_fault(&store, fault);
+	store_until_ms = last_ms();
+	fault_at(store_until_ms + MS_PER_S);
+}
+
+static void harm_links(void)
+{
+	proxy_set(1 + fake_random_below(&rng, PROXY_MODES - 1));
+	proxy_until_ms = last_ms();
+	fault_at(proxy_until_ms + MS_PER_S);
+}
+
+static void lose_packets(void)
+{
+	callers_drop(10 + fake_random_below(&rng, 40));
+	loss_until_ms = last_ms();
+	fault_at(loss_until_ms);
+}
+
+static void take_domain_out(void)
+{
+	platform_standin_put(&store, "op/evacuate/b", "{}");
+	out_until_ms = last_ms();
+	fault_at(out_until_ms);
+}
+
+static void (*const faults[])(void) = {
+	kill_one,   stop_one,	pause_one,    hang_up_one,     darken,	 drain,
+	harm_store, harm_links, lose_packets, take_domain_out, kill_all,
+};
+
+/* Ends what is over; with @all also what is not. */
+static void end_faults(bool all)
+{
+	uint64_t now = all ? UINT64_MAX : now_ms();
+
+	if (store_until_ms && now >= store_until_ms) {
+		platform_standin_set_fault(&store, PLATFORM_FAULT_NONE);
+		store_until_ms = 0;
+	}
+	if (proxy_until_ms && now >= proxy_until_ms) {
+		proxy_set(PROXY_PASS);
+		proxy_until_ms = 0;
+	}
+	if (loss_until_ms && now >= loss_until_ms) {
+		callers_drop(0);
+		loss_until_ms = 0;
+	}
+	if (out_until_ms && now >= out_until_ms) {
+		platform_standin_remove(&store, "op/evacuate/b");
+		out_until_ms = 0;
+	}
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++) {
+		if (!paused_until_ms[i] || now < paused_until_ms[i])
+			continue;
+		instance_signal(i, SIGCONT);
+		paused_until_ms[i] = 0;
+	}
+}
+
+static void step(bool begin)
+{
+	static uint64_t begun_ms;
+	struct pollfd fds[PROCESS_SLOTS + 1];
+	int numbers[PROCESS_SLOTS];
+	int count = servers_fds(numbers);
+	unsigned int requests = 0;
+	uint64_t now;
+
+	for (int i = 0; i < count; i++)
+		fds[i] = (struct pollfd){ .fd = numbers[i], .events = POLLIN };
+	fds[count] = (struct pollfd){ .fd = callers_fd(), .events = POLLIN };
+	poll(fds, (nfds_t)count + 1, STEP_MS);
+	now = now_ms();
+	if (begin && now >= begun_ms + MS_PER_S / REQUESTS_PER_S) {
+		requests = 1;
+		begun_ms = now;
+	}
+	servers_poll();
+	callers_poll(requests);
+	instances_check();
+	end_faults(false);
+}
+
+static void run(uint64_t ms, bool begin)
+{
+	uint64_t end = now_ms() + ms;
+
+	while (now_ms() < end)
+		step(begin);
+}
+
+static void run_faults(uint64_t ms)
+{
+	uint64_t end = now_ms() + ms;
+
+	while (now_ms() < end) {
+		faults[fake_random_below(&rng,
+					 sizeof(faults) / sizeof(*faults))]();
+		run(FAULT_LEAST_MS + fake_random_below(&rng, FAULT_MORE_MS),
+		    true);
+	}
+	end_faults(true);
+	fault_at(now_ms() + PROCESS_CALM_MS);
+}
+
+static void run_plain(void)
+{
+	run(MS_PER_S, true);
+	instance_stop(0);
+	server_drain(1);
+	run(MS_PER_S, true);
+	instance_signal(PROCESS_ALL_INSTANCES - 1, SIGKILL);
+	fault_at(now_ms() + MS_PER_S);
+	run(PLAIN_RUN_MS, true);
+}
+
+static void put_plan(void)
+{
+	struct sockaddr_in service = address(30, 1, 443);
+	unsigned int ip = ntohl(service.sin_addr.s_addr);
+	char plan[512];
+
+	snprintf(
+		plan, sizeof(plan),
+		"{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":"
+		"\"%u.%u.%u.%u\",\"prefix\":\"/443/\",\"service\":\"ledger\"}],"
+		"\"services\":[{\"name\":\"ledger\",\"cold-per-s\":0.0}],"
+		"\"limits\":{}}",
+		ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255);
+	platform_standin_put(&store, "op/config", plan);
+}
+
+static int report(const char *seed)
+{
+	struct callers_result result = callers_result();
+
+	if (result.late_failed)
+		violation("%u requests failed in calm", result.late_failed);
+	if (result.served < SERVED_LEAST)
+		violation("only %u requests were served", result.served);
+	printf("seed %s: %u served, %u failed, %d broken\n", seed,
+	       result.served, result.failed, violations());
+	return violations() ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	uint64_t fault_ms;
+	uint16_t store_port;
+
+	if (argc < 5)
+		return 2;
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	signal(SIGPIPE, SIG_IGN);
+	rng.state = strtoull(argv[1], NULL, 10);
+	fault_ms = strtoull(argv[2], NULL, 10) * MS_PER_S;
+	address_set_net(argc > 5 ? (unsigned int)atoi(argv[5]) : 1);
+	store_port = platform_standin_start(&store, 0);
+	put_plan();
+	servers_start(&store);
+	callers_start(&rng);
+	instances_start(argv[3], argv[4], proxy_start(store_port));
+	instances_watch();
+	fault_at(now_ms() + WARM_UP_MS);
+	run(WARM_UP_MS, false);
+	if (fault_ms)
+		run_faults(fault_ms);
+	else
+		run_plain();
+	run(fault_ms ? CALM_RUN_MS : MS_PER_S, true);
+	while (!callers_are_done())
+		step(false);
+	instances_finish();
+	proxy_stop();
+	platform_standin_stop(&store);
+	return report(argv[1]);
+}
--- /dev/null
+++ b/tests/process/server.c
@@ -0,0 +1,352 @@
+#include "process/process.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define SERVER_GROUP 10
+#define SERVER_PORT 8080
+#define FLOWS_MAX 256
+#define REQUESTS_MAX 262144
+#define WORK_MS 10
+#define HEARTBEAT_MS 1200
+/** A server that is silent is taken out of the store after so long. */
+#define LISTED_MS (3 * HEARTBEAT_MS)
+#define REPLACED_MS 2000
+#define DRAINED_EXIT_MS (PROCESS_DRAIN_MS + 2000)
+#define VALUE_SIZE 256
+#define KEY_SIZE 64
+#define SUM 0x5eed
+
+/**
+ * struct server_flow - a flow at a server
+ * @caller: its caller
+ * @service: public address that it sends to
+ * @seq: sequence number of the server
+ * @echo: last token that came
+ * @answer_ms: when the answer is due; 0 without a request
+ * @request: the request
+ * @is_ended: the answer was sent
+ */
+struct server_flow {
+	struct sockaddr_in caller;
+	struct sockaddr_in service;
+	uint32_t seq;
+	uint32_t echo;
+	uint64_t answer_ms;
+	uint32_t request;
+	bool is_ended;
+};
+
+/**
+ * struct server - a start of a backend server
+ * @id: its id
+ * @draining_ms: since when it drains; 0 while it does not
+ * @listed_until_ms: when its entry goes; 0 while it stays
+ * @replaced_ms: when another one takes its slot; 0 while none does
+ * @flows: its flows
+ * @udp: its socket
+ * @tcp: where it can be connected to
+ * @next: place of the next flow
+ * @is_dark: it answers nothing any more
+ */
+struct server {
+	uint64_t id;
+	uint64_t draining_ms;
+	uint64_t listed_until_ms;
+	uint64_t replaced_ms;
+	struct server_flow flows[FLOWS_MAX];
+	int udp;
+	int tcp;
+	unsigned int next;
+	bool is_dark;
+};
+
+static struct server servers[PROCESS_SLOTS];
+static struct platform_standin *store;
+static uint8_t runs[REQUESTS_MAX];
+static uint64_t last_id = 0x1000;
+
+uint32_t server_runs(uint32_t request)
+{
+	return runs[request % REQUESTS_MAX];
+}
+
+static struct sockaddr_in server_address(int slot)
+{
+	return address(SERVER_GROUP, 1 + (unsigned int)slot, SERVER_PORT);
+}
+
+static void enter(int slot, bool is_draining)
+{
+	struct sockaddr_in at = server_address(slot);
+	char key[KEY_SIZE], value[VALUE_SIZE], text[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &at.sin_addr, text, sizeof(text));
+	snprintf(key, sizeof(key), "servers/i-%llx",
+		 (unsigned long long)servers[slot].id);
+	snprintf(
+		value, sizeof(value),
+		"{\"service\":\"ledger\",\"address\":\"%s:%u\",\"zone\":\"%c\","
+		"\"version\":\"v1\",\"slots\":3,\"state\":\"%s\","
+		"\"cold-left-ms\":0,\"sequence\":1}",
+		text, SERVER_PORT, 'a' + slot / PROCESS_SERVERS,
+		is_draining ? "draining" : "ready");
+	platform_standin_put(store, key, value);
+}
+
+static int listen_tcp(const struct sockaddr_in *bound)
+{
+	int on = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (const struct sockaddr *)bound, sizeof(*bound)) ||
+	    listen(fd, 16)) {
+		perror("listen_tcp");
+		exit(EXIT_FAILURE);
+	}
+	return fd;
+}
+
+static void start(int slot)
+{
+	struct server *server = &servers[slot];
+	struct sockaddr_in at = server_address(slot);
+
+	memset(server, 0, sizeof(*server));
+	server->id = ++last_id;
+	server->udp = udp_open(&at);
+	server->tcp = listen_tcp(&at);
+	enter(slot, false);
+}
+
+void servers_start(struct platform_standin *standin)
+{
+	store = standin;
+	for (int slot = 0; slot < PROCESS_SLOTS; slot++)
+		start(slot);
+}
+
+static void send_packet(const struct server *server,
+			const struct server_flow *flow, uint8_t flags,
+			uint32_t seq, uint32_t ack, const uint8_t *data,
+			uint16_t length)
+{
+	struct sockaddr_in to = flow->caller;
+	struct packet packet = {
+		.flags = flags,
+		.sum = SUM,
+		.seq = seq,
+		.ack = ack,
+		.echo = flow->echo,
+		.from = flow->service,
+		.to = flow->caller,
+		.length = length,
+	};
+	uint8_t bytes[PACKET_MAX];
+
+	if (length)
+		memcpy(packet.data, data, length);
+	to.sin_port = htons(PROCESS_PACKET_PORT);
+	sendto(server->udp, bytes, packet_write(&packet, bytes), 0,
+	       (struct sockaddr *)&to, sizeof(to));
+}
+
+static struct server_flow *find_flow(struct server *server,
+				     const struct sockaddr_in *caller)
+{
+	for (unsigned int i = 0; i < FLOWS_MAX; i++) {
+		struct server_flow *flow = &server->flows[i];
+
+		if (flow->caller.sin_port == caller->sin_port &&
+		    flow->caller.sin_addr.s_addr == caller->sin_addr.s_addr)
+			return flow;
+	}
+	return NULL;
+}
+
+/* In calm, a server that has been draining for the bound gets no new flow. */
+static void check_drain(const struct server *server)
+{
+	uint64_t now = now_ms();
+
+	if (server->draining_ms &&
+	    now > server->draining_ms + PROCESS_DRAIN_MS &&
+	    now > calm_since() + PROCESS_CALM_MS)
+		violation("server %llx got a flow %llu ms after it drained",
+			  (unsigned long long)server->id,
+			  (unsigned long long)(now - server->draining_ms));
+}
+
+static void open_flow(struct server *server, const struct packet *packet)
+{
+	struct server_flow *flow = find_flow(server, &packet->from);
+
+	if (!flow) {
+		check_drain(server);
+		flow = &server->flows[server->next++ % FLOWS_MAX];
+		memset(flow, 0, sizeof(*flow));
+		flow->caller = packet->from;
+		flow->service = packet->to;
+		flow->seq = (uint32_t)(last_id * 7919 + server->next);
+	}
+	flow->echo = packet->echo;
+	send_packet(server, flow, PACKET_SYN | PACKET_ACK, flow->seq,
+		    packet->seq + 1, NULL, 0);
+}
+
+static void take_request(struct server_flow *flow, const struct packet *packet)
+{
+	if (flow->answer_ms || flow->is_ended ||
+	    packet->length < sizeof(flow->request))
+		return;
+	memcpy(&flow->request, packet->data, sizeof(flow->request));
+	runs[flow->request % REQUESTS_MAX]++;
+	flow->answer_ms = now_ms() + WORK_MS;
+}
+
+static void take_packet(struct server *server, const struct packet *packet)
+{
+	struct server_flow *flow;
+
+	if (packet->flags & PACKET_SYN) {
+		open_flow(server, packet);
+		return;
+	}
+	flow = find_flow(server, &packet->from);
+	if (!flow) {
+		struct server_flow unknown = { .caller = packet->from,
+					       .service = packet->to };
+
+		send_packet(server, &unknown, PACKET_RST, packet->ack, 0, NULL,
+			    0);
+		return;
+	}
+	flow->echo = packet->echo;
+	if (flow->is_ended && packet->length)
+		send_packet(server, flow, PACKET_ACK | PACKET_FIN,
+			    flow->seq + 1, 0, (uint8_t *)&flow->request,
+			    sizeof(flow->request));
+	else if (packet->length)
+		take_request(flow, packet);
+}
+
+static void receive(struct server *server)
+{
+	uint8_t bytes[PACKET_ID + PACKET_MAX];
+	struct packet packet;
+	ssize_t got;
+
+	while ((got = recv(server->udp, bytes, sizeof(bytes), 0)) > 0) {
+		uint64_t id = 0;
+
+		for (int i = 0; i < PACKET_ID && i < got; i++)
+			id = id << 8 | bytes[i];
+		if (server->is_dark || id != server->id || got < PACKET_ID ||
+		    !packet_read(&packet, bytes + PACKET_ID,
+				 (size_t)got - PACKET_ID))
+			continue;
+		take_packet(server, &packet);
+	}
+}
+
+static void answer(struct server *server)
+{
+	uint64_t now = now_ms();
+
+	for (unsigned int i = 0; i < FLOWS_MAX; i++) {
+		struct server_flow *flow = &server->flows[i];
+
+		if (!flow->answer_ms || now < flow->answer_ms)
+			continue;
+		flow->answer_ms = 0;
+		flow->is_ended = true;
+		send_packet(server, flow, PACKET_ACK | PACKET_FIN,
+			    flow->seq + 1, 0, (uint8_t *)&flow->request,
+			    sizeof(flow->request));
+	}
+}
+
+static void accept_probes(const struct server *server)
+{
+	int fd = accept4(server->tcp, NULL, NULL, SOCK_NONBLOCK);
+
+	if (fd >= 0)
+		close(fd);
+}
+
+static void leave_store(int slot)
+{
+	char key[KEY_SIZE];
+
+	snprintf(key, sizeof(key), "servers/i-%llx",
+		 (unsigned long long)servers[slot].id);
+	platform_standin_remove(store, key);
+	servers[slot].listed_until_ms = 0;
+}
+
+static void replace(int slot)
+{
+	if (servers[slot].listed_until_ms)
+		leave_store(slot);
+	close(servers[slot].udp);
+	if (servers[slot].tcp >= 0)
+		close(servers[slot].tcp);
+	start(slot);
+}
+
+void servers_poll(void)
+{
+	uint64_t now = now_ms();
+
+	for (int slot = 0; slot < PROCESS_SLOTS; slot++) {
+		struct server *server = &servers[slot];
+
+		receive(server);
+		if (!server->is_dark)
+			answer(server);
+		if (server->listed_until_ms && now >= server->listed_until_ms)
+			leave_store(slot);
+		if (server->replaced_ms && now >= server->replaced_ms)
+			replace(slot);
+		if (server->tcp >= 0 && !server->is_dark)
+			accept_probes(server);
+	}
+}
+
+void server_go_dark(int slot)
+{
+	struct server *server = &servers[slot];
+
+	if (server->is_dark || server->draining_ms)
+		return;
+	server->is_dark = true;
+	close(server->tcp);
+	server->tcp = -1;
+	server->listed_until_ms = now_ms() + LISTED_MS;
+	server->replaced_ms = server->listed_until_ms + REPLACED_MS;
+	fault_at(server->replaced_ms);
+}
+
+void server_drain(int slot)
+{
+	struct server *server = &servers[slot];
+
+	if (server->is_dark || server->draining_ms)
+		return;
+	enter(slot, true);
+	server->draining_ms = now_ms();
+	server->listed_until_ms = server->draining_ms + DRAINED_EXIT_MS;
+	server->replaced_ms = server->listed_until_ms;
+}
+
+int servers_fds(int *fds)
+{
+	for (int slot = 0; slot < PROCESS_SLOTS; slot++)
+		fds[slot] = servers[slot].udp;
+	return PROCESS_SLOTS;
+}
--- /dev/null
+++ b/tests/scripts/process.sh
@@ -0,0 +1,30 @@
+#!/bin/sh
+# process.sh BUILD SECONDS SEED...: runs the program as processes among stand-ins,
+# first without faults but for one stop, kill and drain, then SECONDS of faults
+# for each seed. Keeps the files of a run that broke a promise.
+set -u
+build=$1
+seconds=$2
+shift 2
+failed=0
+net=40
+run() { # seed seconds
+	dir=$build/process.files/$1-$2
+	rm -rf "$dir"
+	mkdir -p "$dir"
+	net=$((net + 1))
+	if timeout 180 "$build/process" "$1" "$2" "$build/chervilmast" "$dir" "$net" >"$dir/out" 2>&1; then
+		tail -n 1 "$dir/out"
+		rm -rf "$dir"
+	else
+		grep -h broken "$dir/out"
+		echo "FAILED: seed $1, files in $dir"
+		failed=$((failed + 1))
+	fi
+}
+run 1 0
+for seed in "$@"; do
+	run "$seed" "$seconds"
+done
+echo "$((1 + $# - failed)) passed, $failed failed"
+[ "$failed" -eq 0 ]
