Keep a repeated SYN with a server that a probe reached; histograms and gauges

The SYN's answer was lost, its repetition went to a second server, both answered, and the caller's data followed the token it had heard last. The stand-in server also took data that acknowledged another server's number, which the platform's do not; it now answers them with a reset. Ruled out: a second run at the same server (each server runs a flow's request once).

Change: a repeated SYN goes to the first server again when a TCP probe has reached that one since; only the last repetition goes elsewhere. Test first: repeated_syn_stays_with_a_server_that_a_probe_reached.

--- /dev/null
+++ b/include/chervilmast/histogram.h
@@ -0,0 +1,99 @@
+/**
+ * DOC: Histograms
+ *
+ * Times in fixed buckets, for what an operator asks after: how long servers,
+ * flows, decisions and calls took. Adding is lock-free.
+ */
+#ifndef CHERVILMAST_HISTOGRAM_H
+#define CHERVILMAST_HISTOGRAM_H
+
+#include <stdint.h>
+
+/* X(constant, name in /metrics with its unit, what it shows) */
+#define CM_HISTOGRAMS(X)                                                     \
+	X(SYN_ANSWER, "syn_answer_milliseconds",                             \
+	  "time from a SYN that was sent on to the caller's next packet")    \
+	X(FLOW, "flow_milliseconds",                                         \
+	  "time from a SYN that was sent on to the caller's FIN")            \
+	X(DECISION, "decision_microseconds",                                 \
+	  "time that a batch of packets took from the socket to the socket") \
+	X(STORE_READ, "store_read_milliseconds",                             \
+	  "time that reading all of the registry took")                      \
+	X(STORE_WAIT, "store_wait_milliseconds",                             \
+	  "time that a wait for changes of the registry took")               \
+	X(STORE_ENTRY, "store_entry_milliseconds",                           \
+	  "time that entering this instance, or keeping its entry, took")    \
+	X(SOURCE_ANSWER, "source_answer_milliseconds",                       \
+	  "time from a question to the source to its answer")
+
+/**
+ * enum cm_histogram_kind - index of a histogram
+ */
+enum cm_histogram_kind {
+#define CM_HISTOGRAM_ENUM(kind, name, help) CM_H_##kind,
+	CM_HISTOGRAMS(CM_HISTOGRAM_ENUM)
+#undef CM_HISTOGRAM_ENUM
+		CM_HISTOGRAM_COUNT
+};
+
+/** Upper bounds of the buckets; all above the last one have one more. */
+#define CM_HISTOGRAM_BOUNDS                                                 \
+	{                                                                   \
+		1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000 \
+	}
+/** Number of bounds. */
+#define CM_HISTOGRAM_BOUND_COUNT 13
+
+/**
+ * struct cm_histogram - times in buckets
+ * @buckets: times in each bucket, the ones above all bounds last
+ * @sum: sum of all times
+ */
+struct cm_histogram {
+	uint64_t buckets[CM_HISTOGRAM_BOUND_COUNT + 1];
+	uint64_t sum;
+};
+
+/**
+ * struct cm_histograms - one of each kind
+ * @of: the histograms, indexed by enum cm_histogram_kind
+ */
+struct cm_histograms {
+	struct cm_histogram of[CM_HISTOGRAM_COUNT];
+};
+
+/**
+ * cm_histograms_add() - add a time
+ * @histograms: where it is added
+ * @kind: to which one
+ * @time: the time, in the unit of its name
+ */
+void cm_histograms_add(struct cm_histograms *histograms,
+		       enum cm_histogram_kind kind, uint64_t time);
+
+/**
+ * cm_histograms_read() - read a histogram
+ * @histograms: where it is
+ * @kind: which one
+ * @copy: set to what was added so far
+ */
+void cm_histograms_read(const struct cm_histograms *histograms,
+			enum cm_histogram_kind kind, struct cm_histogram *copy);
+
+/**
+ * cm_histogram_name() - stable name of a histogram, as it stands in /metrics
+ * @kind: which one
+ *
+ * Return: a static string.
+ */
+const char *cm_histogram_name(enum cm_histogram_kind kind);
+
+/**
+ * cm_histogram_help() - one line that says what a histogram shows
+ * @kind: which one
+ *
+ * Return: a static string.
+ */
+const char *cm_histogram_help(enum cm_histogram_kind kind);
+
+#endif
--- a/include/chervilmast/server_health.h
+++ b/include/chervilmast/server_health.h
@@ -22,6 +22,7 @@
  * @unanswered: SYNs in a row that got no answer
  * @unanswered_ms: when the last of them was sent
  * @is_reached: a probe reached the server after the last of them
+ * @reached_ms: when a probe last reached it; 0 for never
  * @probes: probes since the server was last reached
  * @probed_ms: when the last probe began
  * @tried_ms: when the server last got a flow
@@ -34,6 +35,7 @@
 	uint32_t unanswered;
 	uint64_t unanswered_ms;
 	bool is_reached;
+	uint64_t reached_ms;
 	uint32_t probes;
 	uint64_t probed_ms;
 	uint64_t tried_ms;
@@ -102,10 +104,11 @@
 /**
  * cm_server_health_reached() - a probe reached the server
  * @health: what was seen
+ * @now_ms: current time
  *
  * It may get one flow now, which shows whether it answers.
  */
-void cm_server_health_reached(struct cm_server_health *health);
+void cm_server_health_reached(struct cm_server_health *health, uint64_t now_ms);
 
 /**
  * cm_server_health_may_try() - whether a server gets flows
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -18,6 +18,7 @@
 
 #include "chervilmast/counter.h"
 #include "chervilmast/feed_source.h"
+#include "chervilmast/histogram.h"
 #include "chervilmast/steer_flow.h"
 #include "chervilmast/steer_peer.h"
 #include "chervilmast/steer_plan.h"
@@ -138,6 +139,7 @@
  * @silent_syns: SYNs in a row, to any server, that got no answer
  * @probed_ms: when the last probe began
  * @counters: counters
+ * @histograms: times
  */
 struct cm_steer {
 	pthread_mutex_t lock;
@@ -159,6 +161,7 @@
 	uint32_t silent_syns;
 	uint64_t probed_ms;
 	struct cm_counters counters;
+	struct cm_histograms histograms;
 };
 
 /**
@@ -334,9 +337,10 @@
 /**
  * cm_steer_reached() - a probe reached a server
  * @steer: the node
+ * @now_ms: current time
  * @token: token of the server
  */
-void cm_steer_reached(struct cm_steer *steer, uint32_t token);
+void cm_steer_reached(struct cm_steer *steer, uint64_t now_ms, uint32_t token);
 
 /**
  * cm_steer_idle_ms() - time since a packet was last sent on
--- a/src/adapters/clock.c
+++ b/src/adapters/clock.c
@@ -4,6 +4,8 @@
 
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
+#define US_PER_S 1000000
+#define NS_PER_US 1000
 
 uint64_t cm_clock_ms(void)
 {
@@ -14,6 +16,15 @@
 	       (uint64_t)now.tv_nsec / NS_PER_MS;
 }
 
+uint64_t cm_clock_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (uint64_t)now.tv_sec * US_PER_S +
+	       (uint64_t)now.tv_nsec / NS_PER_US;
+}
+
 uint64_t cm_clock_wall_s(void)
 {
 	return (uint64_t)time(NULL);
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -72,8 +72,9 @@
 	health->probed_ms = now_ms;
 }
 
-void cm_server_health_reached(struct cm_server_health *health)
+void cm_server_health_reached(struct cm_server_health *health, uint64_t now_ms)
 {
+	health->reached_ms = now_ms;
 	health->is_reached = true;
 }
 
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -128,9 +128,23 @@
 	return steer->active_ms >= flow->syn_active_ms + ANSWER_TIMEOUT_MS;
 }
 
+/*
+ * Whether the server of a flow that is not open may still answer. One that a
+ * probe has reached since may have answered already, and the answer was lost.
+ */
+static bool may_answer(const struct cm_steer *steer,
+		       const struct cm_steer_flow *flow,
+		       const struct cm_steer_server *server, uint32_t repeats)
+{
+	if (!flow->is_judged && !is_overdue(steer, flow))
+		return true;
+	return repeats < LAST_REPEAT &&
+	       server->health.reached_ms > flow->syn_ms;
+}
+
 /* A repeated SYN goes to its server again unless that one seems silent. */
 static bool repeat_syn(struct cm_steer *steer, uint64_t now_ms,
-		       struct cm_steer_flow *flow,
+		       const struct cm_steer_flow *flow, uint32_t repeats,
 		       struct cm_steer_verdict *verdict)
 {
 	const struct cm_steer_server *server =
@@ -138,7 +152,7 @@
 
 	if (!server || server->listing == CM_LEFT)
 		return false;
-	if (!flow->is_open && (flow->is_judged || is_overdue(steer, flow)))
+	if (!flow->is_open && !may_answer(steer, flow, server, repeats))
 		return false;
 	send_to(steer, now_ms, server, CM_C_STEER_SYN_REPEATED, verdict);
 	return true;
@@ -200,7 +214,8 @@
 		refuse(steer, now_ms, CM_C_STEER_NO_ROUTE, verdict);
 		return;
 	}
-	if (flow && packet->repeats && repeat_syn(steer, now_ms, flow, verdict))
+	if (flow && packet->repeats &&
+	    repeat_syn(steer, now_ms, flow, packet->repeats, verdict))
 		return;
 	if (flow && packet->repeats && !flow->is_open) {
 		avoid_token = flow->token;
@@ -222,11 +237,23 @@
 		cm_steer_flows_settle(&steer->flows, flow, true);
 	flow->is_judged = false;
 	flow->is_open = true;
+	cm_histograms_add(&steer->histograms, CM_H_SYN_ANSWER,
+			  now_ms - flow->syn_ms);
 	steer->silent_syns = 0;
 	if (cm_server_health_answered(&server->health, now_ms))
 		cm_counters_add(&steer->counters, CM_C_STEER_CLEARED);
 }
 
+static void note_end(struct cm_steer *steer, uint64_t now_ms,
+		     const struct cm_steer_flow *flow,
+		     struct cm_steer_server *server)
+{
+	uint64_t took_ms = now_ms - flow->syn_ms;
+
+	cm_server_health_ended(&server->health, (uint32_t)took_ms, now_ms);
+	cm_histograms_add(&steer->histograms, CM_H_FLOW, took_ms);
+}
+
 static void follow_flow(struct cm_steer *steer, uint64_t now_ms,
 			const struct cm_steer_packet *packet,
 			struct cm_steer_server *server)
@@ -240,9 +267,7 @@
 		note_answer(steer, now_ms, flow, server);
 	cm_steer_flows_touch(&steer->flows, flow, now_ms);
 	if (packet->flags & CM_STEER_FIN)
-		cm_server_health_ended(&server->health,
-				       (uint32_t)(now_ms - flow->syn_ms),
-				       now_ms);
+		note_end(steer, now_ms, flow, server);
 	if (packet->flags & (CM_STEER_FIN | CM_STEER_RST))
 		forget_flow(steer, flow);
 }
@@ -401,7 +426,7 @@
 	return token;
 }
 
-void cm_steer_reached(struct cm_steer *steer, uint32_t token)
+void cm_steer_reached(struct cm_steer *steer, uint64_t now_ms, uint32_t token)
 {
 	struct cm_steer_server *server;
 
@@ -409,7 +434,7 @@
 	server = cm_steer_servers_by_token(&steer->servers, token);
 	steer->silent_syns = 0;
 	if (server)
-		cm_server_health_reached(&server->health);
+		cm_server_health_reached(&server->health, now_ms);
 	pthread_mutex_unlock(&steer->lock);
 }
 
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -19,6 +19,7 @@
 	pthread_mutex_init(&feed->lock, NULL);
 	cm_item_log_init(&feed->log);
 	cm_feed_source_init(&feed->source, age_max_ms);
+	feed->asked_ms = 0;
 	feed->swept_ms = 0;
 }
 
@@ -137,6 +138,8 @@
 		  cm_steer_source(feed->steer, self, now_ms, &feed->source,
 				  source) &&
 		  cm_feed_source_may_ask(&feed->source, source->name, now_ms);
+	if (may_ask)
+		feed->asked_ms = now_ms;
 	pthread_mutex_unlock(&feed->lock);
 	return may_ask;
 }
@@ -169,6 +172,10 @@
 	bool is_behind, is_good;
 
 	pthread_mutex_lock(&feed->lock);
+	if (feed->asked_ms)
+		cm_histograms_add(&feed->steer->histograms, CM_H_SOURCE_ANSWER,
+				  now_ms - feed->asked_ms);
+	feed->asked_ms = 0;
 	is_behind = !items->revision || items->revision < feed->log.revision;
 	is_good = cm_feed_source_answered(&feed->source, items->age_ms,
 					  is_behind);
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -22,6 +22,7 @@
  * @lock: guards all below
  * @log: copy of the registry
  * @source: what was made of the instance that is asked
+ * @asked_ms: when the source was asked last; 0 when it has answered since
  * @swept_ms: when the copy was last swept
  */
 struct cm_feed {
@@ -30,6 +31,7 @@
 	pthread_mutex_t lock;
 	struct cm_item_log log;
 	struct cm_feed_source source;
+	uint64_t asked_ms;
 	uint64_t swept_ms;
 };
 
--- a/src/daemon/metrics_text.h
+++ b/src/daemon/metrics_text.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "chervilmast/counter.h"
+#include "chervilmast/histogram.h"
 
 /** Media type of the text. */
 #define CM_METRICS_TYPE "text/plain; version=0.0.4; charset=utf-8"
@@ -31,4 +32,14 @@
 void cm_metrics_append_gauge(GString *text, const char *name, const char *help,
 			     uint64_t value);
 
+/**
+ * cm_metrics_append_histogram() - append a histogram
+ * @text: appended to
+ * @histograms: where it is
+ * @kind: which one
+ */
+void cm_metrics_append_histogram(GString *text,
+				 const struct cm_histograms *histograms,
+				 enum cm_histogram_kind kind);
+
 #endif
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -52,24 +52,42 @@
 	loop->counted = calls;
 }
 
+static void time_call(struct cm_registry_loop *loop,
+		      enum cm_histogram_kind kind, uint64_t begin_ms)
+{
+	cm_histograms_add(&loop->feed->steer->histograms, kind,
+			  cm_clock_ms() - begin_ms);
+}
+
 static int read_all(struct cm_registry_loop *loop)
 {
 	const struct cm_registry_sink sink = cm_feed_sink(loop->feed, true);
+	uint64_t begin_ms = cm_clock_ms();
+	int error;
 
 	cm_counters_add(&loop->feed->steer->counters, CM_C_REGISTRY_SNAPSHOTS);
 	cm_feed_begin(loop->feed);
-	return loop->registry->ops->read(loop->registry, &sink);
+	error = loop->registry->ops->read(loop->registry, &sink);
+	time_call(loop, CM_H_STORE_READ, begin_ms);
+	return error;
 }
 
-static int call_registry(struct cm_registry_loop *loop)
+static int wait_for_changes(struct cm_registry_loop *loop, uint64_t known)
 {
 	const struct cm_registry_sink sink = cm_feed_sink(loop->feed, false);
+	uint64_t begin_ms = cm_clock_ms();
+	int error = loop->registry->ops->wait(loop->registry, known,
+					      loop->wait_ms, &sink);
+
+	time_call(loop, CM_H_STORE_WAIT, begin_ms);
+	return error;
+}
+
+static int call_registry(struct cm_registry_loop *loop)
+{
 	uint64_t known = cm_feed_revision(loop->feed);
-	int error = CM_E_COMPACTED;
+	int error = known ? wait_for_changes(loop, known) : CM_E_COMPACTED;
 
-	if (known)
-		error = loop->registry->ops->wait(loop->registry, known,
-						  loop->wait_ms, &sink);
 	if (error == CM_E_COMPACTED)
 		error = read_all(loop);
 	return error;
@@ -88,6 +106,7 @@
 	if (error == CM_E_NOT_FOUND)
 		error = loop->registry->ops->announce(loop->registry,
 						      &loop->peers->self);
+	time_call(loop, CM_H_STORE_ENTRY, now_ms);
 	loop->announce_ms = now_ms + (error ? ANNOUNCE_RETRY_MS : ANNOUNCE_MS);
 	if (error)
 		cm_log(CM_EVENT_ANNOUNCE_FAILED, "error=%s",
--- /dev/null
+++ b/src/daemon/steer_gauge.h
@@ -0,0 +1,72 @@
+/**
+ * DOC: Gauges of an instance that steers by token
+ *
+ * What it believes at the moment.
+ */
+#ifndef DAEMON_STEER_GAUGE_H
+#define DAEMON_STEER_GAUGE_H
+
+#include "chervilmast/steer.h"
+
+/* X(constant, name in /metrics, what it shows) */
+#define CM_STEER_GAUGES(X)                                                  \
+	X(PLAN, "plan_version", "version of the plan in force; 0 for none") \
+	X(REGISTRY_AGE, "registry_age_milliseconds",                        \
+	  "time since the registry was last heard of")                      \
+	X(READY, "ready", "1 when the fabric should give packets here")     \
+	X(LISTED, "servers_listed", "backend servers in the registry")      \
+	X(DRAINING, "servers_draining", "of these, servers that leave")     \
+	X(LAPSED, "servers_lapsed",                                         \
+	  "servers whose entry went while the registry was away")           \
+	X(LEFT, "servers_left", "servers that left, kept for their flows")  \
+	X(SUSPECTED, "servers_suspected",                                   \
+	  "servers that left their last SYN unanswered")                    \
+	X(PEERS, "peers", "instances in the registry, this one included")   \
+	X(OPEN_FLOWS, "flows_observed", "flows that are observed")          \
+	X(LINES_LEFT_OUT, "log_lines_left_out",                             \
+	  "log lines left out since the start")
+
+/**
+ * enum cm_steer_gauge - index of a gauge
+ */
+enum cm_steer_gauge {
+#define CM_STEER_GAUGE_ENUM(gauge, text, help) CM_SG_##gauge,
+	CM_STEER_GAUGES(CM_STEER_GAUGE_ENUM)
+#undef CM_STEER_GAUGE_ENUM
+		CM_STEER_GAUGE_COUNT
+};
+
+/**
+ * struct cm_steer_gauges - one value for each gauge
+ * @value: the values, indexed by enum cm_steer_gauge
+ */
+struct cm_steer_gauges {
+	uint64_t value[CM_STEER_GAUGE_COUNT];
+};
+
+/**
+ * cm_steer_gauges_read() - read all gauges
+ * @steer: the node
+ * @now_ms: current time
+ * @gauges: set
+ */
+void cm_steer_gauges_read(struct cm_steer *steer, uint64_t now_ms,
+			  struct cm_steer_gauges *gauges);
+
+/**
+ * cm_steer_gauge_name() - stable name of a gauge
+ * @gauge: which one
+ *
+ * Return: a static string.
+ */
+const char *cm_steer_gauge_name(enum cm_steer_gauge gauge);
+
+/**
+ * cm_steer_gauge_help() - one line that says what a gauge shows
+ * @gauge: which one
+ *
+ * Return: a static string.
+ */
+const char *cm_steer_gauge_help(enum cm_steer_gauge gauge);
+
+#endif
--- a/src/daemon/steer_loop.c
+++ b/src/daemon/steer_loop.c
@@ -7,6 +7,7 @@
 
 /** Time between ticks, ms. */
 #define TICK_MS 25
+#define US_PER_MS 1000
 /** Longest time of a probe while others wait, ms. */
 #define PROBE_MOST_MS 200
 
@@ -30,14 +31,14 @@
 	cm_udp_batch_finish(&loop->batch);
 }
 
-static void check_probe(struct cm_steer_loop *loop,
+static void check_probe(struct cm_steer_loop *loop, uint64_t now_ms,
 			struct cm_reach_probe *probe)
 {
 	uint32_t token = probe->token;
 
 	if (!cm_reach_probe_check(probe))
 		return;
-	cm_steer_reached(loop->steer, token);
+	cm_steer_reached(loop->steer, now_ms, token);
 	cm_log(CM_EVENT_REACHED, "token=%08x", token);
 }
 
@@ -49,7 +50,7 @@
 		struct cm_endpoint address;
 		uint32_t token;
 
-		check_probe(loop, probe);
+		check_probe(loop, now_ms, probe);
 		if (probe->fd >= 0 && now_ms < probe->began_ms + PROBE_MOST_MS)
 			continue;
 		token = cm_steer_next_probe(loop->steer, now_ms, &address);
@@ -140,7 +141,8 @@
 int cm_steer_loop_step(struct cm_steer_loop *loop, const sigset_t *signals)
 {
 	int error = cm_udp_batch_receive(&loop->batch, TICK_MS, signals);
-	uint64_t now_ms = cm_clock_ms();
+	uint64_t begin_us = cm_clock_us();
+	uint64_t now_ms = begin_us / US_PER_MS;
 	size_t refused;
 
 	if (error)
@@ -148,6 +150,9 @@
 	for (size_t i = 0; i < loop->batch.count; i++)
 		handle(loop, now_ms, &loop->batch.came[i]);
 	refused = cm_udp_batch_send(&loop->batch);
+	if (loop->batch.count)
+		cm_histograms_add(&loop->steer->histograms, CM_H_DECISION,
+				  cm_clock_us() - begin_us);
 	if (refused)
 		cm_counters_add_many(&loop->steer->counters, CM_C_DROP_SEND,
 				     refused);
--- a/src/daemon/steer_page.c
+++ b/src/daemon/steer_page.c
@@ -6,6 +6,7 @@
 #include "chervilmast/steer.h"
 #include "metrics_text.h"
 #include "ports/clock.h"
+#include "steer_gauge.h"
 
 #define HTTP_UNAVAILABLE 503
 
@@ -23,9 +24,17 @@
 {
 	struct cm_steer *steer = (struct cm_steer *)user;
 	GString *text = g_string_new(NULL);
+	struct cm_steer_gauges gauges;
 
 	(void)status;
 	cm_metrics_append_counters(text, &steer->counters);
+	cm_steer_gauges_read(steer, cm_clock_ms(), &gauges);
+	for (int i = 0; i < CM_STEER_GAUGE_COUNT; i++)
+		cm_metrics_append_gauge(text, cm_steer_gauge_name(i),
+					cm_steer_gauge_help(i),
+					gauges.value[i]);
+	for (int i = 0; i < CM_HISTOGRAM_COUNT; i++)
+		cm_metrics_append_histogram(text, &steer->histograms, i);
 	return g_string_free(text, FALSE);
 }
 
--- a/src/ports/clock.h
+++ b/src/ports/clock.h
@@ -15,6 +15,13 @@
  */
 uint64_t cm_clock_ms(void);
 
+/**
+ * cm_clock_us() - like cm_clock_ms(), for short times
+ *
+ * Return: microseconds since an arbitrary start.
+ */
+uint64_t cm_clock_us(void);
+
 /**
  * cm_clock_wall_s() - calendar time
  *
--- a/tests/process/server.c
+++ b/tests/process/server.c
@@ -218,7 +218,8 @@
 		return;
 	}
 	flow = find_flow(server, &packet->from);
-	if (!flow) {
+	/* It opens at the server whose number the caller acknowledges. */
+	if (!flow || (packet->length && packet->ack != flow->seq + 1)) {
 		struct server_flow unknown = { .caller = packet->from,
 					       .service = packet->to };
 
--- a/tests/scripts/cases/operations_page.sh
+++ b/tests/scripts/cases/operations_page.sh
@@ -24,12 +24,16 @@
 
 compare Counters include/chervilmast/counter.h
 compare Gauges src/daemon/gauge.h
+compare 'Gauges of steering' src/daemon/steer_gauge.h
+compare Histograms include/chervilmast/histogram.h
 compare 'Log events' src/daemon/log_event.h
 
 echo '# every name in the text is a counter, gauge, event, key or command'
 {
 	names include/chervilmast/counter.h
 	names src/daemon/gauge.h
+	names src/daemon/steer_gauge.h
+	names include/chervilmast/histogram.h
 	names src/daemon/log_event.h
 	sed -n 's/^| `\([a-z_.]*\)` .*/\1/p' examples/README.md
 } | sort -u >"$dir/known"
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -3,93 +3,15 @@
 #include <netinet/in.h>
 #include <stdlib.h>
 
-#include "chervilmast/backend.h"
 #include "fake/random.h"
+#include "unit/backend_home.h"
 
-#define MS_PER_S 1000
-#define START_MS 1000000
-#define COLD_START_S 10
-#define WARM_ANSWER_MS 3
 #define RUN_MS 20000
 #define IDLE_MS (60 * MS_PER_S)
 /* The bounds that are promised, apart from the constants that keep them. */
 #define BURST_SHARE 10
 #define TAKEOVER_SHARE 4
 
-static const struct cm_endpoint address = { 0xc000020a, 8443, IPPROTO_TCP };
-
-/* The server under test, its home and the time there. */
-static struct cm_server_spec spec;
-static struct cm_backend backend;
-static struct cm_backend_status status;
-static uint64_t now_ms;
-
-static void set_spec(uint32_t cap, uint32_t rate)
-{
-	spec = (struct cm_server_spec){
-		.address = address,
-		.slots = 1,
-		.max_connections = cap,
-		.max_new_per_s = rate,
-		.cold_start_s = COLD_START_S,
-	};
-}
-
-static void teardown(void)
-{
-	cm_backend_finish(&backend);
-}
-
-static bool admit(struct cm_backend *home, uint64_t at_ms)
-{
-	struct cm_admission admission;
-
-	return cm_backend_admit(home, &spec, at_ms, &admission);
-}
-
-/* Admits and answers at once. */
-static bool serve(struct cm_backend *home, uint64_t at_ms)
-{
-	bool admitted = admit(home, at_ms);
-
-	if (admitted)
-		cm_backend_answered(home, WARM_ANSWER_MS, at_ms);
-	return admitted;
-}
-
-static void read_status(void)
-{
-	cm_backend_status(&backend, &spec, now_ms, &status);
-}
-
-static void start_cold(uint32_t cap, uint32_t rate)
-{
-	set_spec(cap, rate);
-	now_ms = START_MS;
-	cm_backend_init(&backend, &address, now_ms);
-}
-
-/* Serves until the home takes the server for warm. */
-static void warm_up(struct cm_backend *home)
-{
-	struct cm_backend_status at;
-
-	now_ms = START_MS;
-	cm_backend_init(home, &address, now_ms);
-	do {
-		now_ms += 10;
-		if (serve(home, now_ms))
-			cm_backend_release(home, false);
-		cm_backend_status(home, &spec, now_ms, &at);
-	} while (at.percent < CM_PERCENT);
-}
-
-static void start_warm(uint32_t cap, uint32_t rate)
-{
-	set_spec(cap, rate);
-	warm_up(&backend);
-}
-
 static void take_over(struct cm_backend *home)
 {
 	cm_backend_set_home(home, true, true);
@@ -99,7 +21,7 @@
 
 static const uint32_t rates[] = { 1, 7, 100, 400, 5000 };
 
-UNIT_CASE("admission", "backend", NULL, teardown, UNIT_TIMEOUT_S);
+UNIT_CASE("admission", "backend", NULL, backend_teardown, UNIT_TIMEOUT_S);
 
 /* Any second holds at most the rate and the burst, however SYNs arrive. */
 TEST_TABLE(any_second_keeps_rate, rates)
@@ -323,137 +245,6 @@
 	ck_assert(admit(&backend, now_ms + IDLE_MS));
 }
 
-static void sign_restart(void)
-{
-	cm_backend_restart(&backend, now_ms);
-}
-
-static void sign_syn_resets(void)
-{
-	for (int i = 0; i < CM_COLD_SYN_RESETS; i++)
-		cm_backend_syn_reset(&backend, now_ms);
-}
-
-static void sign_slow(void)
-{
-	for (int i = 0; i < CM_COLD_SLOW_ANSWERS; i++)
-		cm_backend_answered(&backend, 20 * WARM_ANSWER_MS, now_ms);
-}
-
-static void sign_resets(void)
-{
-	for (int i = 0; i < CM_COLD_RESETS; i++) {
-		cm_backend_flow_reset(&backend, false, now_ms);
-		cm_backend_release(&backend, false);
-	}
-}
-
-/* A server that came up anew answers the segments of its connections so. */
-static void sign_unknown_flows(void)
-{
-	for (int i = 0; i < CM_COLD_UNKNOWN_FLOWS; i++)
-		cm_backend_flow_reset(&backend, true, now_ms);
-}
-
-static void sign_one_unknown_flow(void)
-{
-	for (int i = 0; i < CM_COLD_UNKNOWN_FLOWS; i++)
-		cm_backend_flow_reset(&backend, true,
-				      now_ms + 1000 * (uint64_t)i);
-}
-
-static void sign_few_resets(void)
-{
-	for (int i = 1; i < CM_COLD_RESETS; i++)
-		cm_backend_flow_reset(&backend, false, now_ms);
-}
-
-/* Three SYNs of the second before were not answered. */
-static void sign_silence(void)
-{
-	for (int i = 0; i < CM_COLD_SILENT_SYNS; i++)
-		ck_assert(admit(&backend, now_ms - CM_COLD_SILENCE_MS));
-	ck_assert(!admit(&backend, now_ms));
-}
-
-static void sign_one_syn_reset(void)
-{
-	cm_backend_syn_reset(&backend, now_ms);
-}
-
-static void sign_late_answer(void)
-{
-	cm_backend_answered(&backend, 400, now_ms);
-}
-
-static void sign_lost_syn(void)
-{
-	ck_assert(admit(&backend, now_ms - 5 * CM_COLD_SILENCE_MS));
-	ck_assert(admit(&backend, now_ms));
-}
-
-/* What the home sees, and whether it is a cold start. */
-static const struct {
-	void (*show)(void);
-	bool cold;
-} cold_signs[] = {
-	{ sign_restart, true },	      { sign_syn_resets, true },
-	{ sign_slow, true },	      { sign_resets, true },
-	{ sign_silence, true },	      { sign_one_syn_reset, false },
-	{ sign_late_answer, false },  { sign_lost_syn, false },
-	{ sign_unknown_flows, true }, { sign_one_unknown_flow, false },
-	{ sign_few_resets, false },
-};
-
-/* Connections that a server gets in a second when it answers none. */
-static uint32_t admitted_unanswered(void)
-{
-	uint32_t admitted = 0;
-
-	for (int i = 0; i < MS_PER_S; i++)
-		admitted += admit(&backend, now_ms + i);
-	return admitted;
-}
-
-TEST_TABLE(sign_begins_cold_start, cold_signs)
-{
-	bool cold = cold_signs[_i].cold;
-
-	start_warm(1000, 100);
-	now_ms += 10 * MS_PER_S;
-	cold_signs[_i].show();
-	read_status();
-	ck_assert_uint_eq(status.cold_starts, cold ? 2 : 1);
-	ck_assert_uint_eq(status.percent,
-			  cold ? CM_COLD_FLOOR_PERCENT : CM_PERCENT);
-	if (cold)
-		ck_assert_uint_le(admitted_unanswered(), CM_COLD_UNANSWERED);
-}
-
-/* Time alone warms nothing: a server that answers nothing stays cold. */
-TEST(ramp_needs_answers)
-{
-	start_cold(1000, 100);
-	now_ms += 100 * COLD_START_S * MS_PER_S;
-	read_status();
-	ck_assert_uint_eq(status.percent, CM_COLD_FLOOR_PERCENT);
-	ck_assert_uint_le(admitted_unanswered(), CM_COLD_UNANSWERED);
-}
-
-/* New connections in each second of the ramp, all answered at once. */
-TEST(ramp_follows_time)
-{
-	start_cold(100000, 100);
-	for (uint32_t s = 0; s < COLD_START_S; s++) {
-		uint32_t share = 10 + 90 * (s + 1) / COLD_START_S;
-		uint32_t admitted = 0;
-
-		for (uint32_t ms = 0; ms < MS_PER_S; ms++)
-			admitted += serve(&backend, now_ms++);
-		ck_assert_uint_le(admitted, share + 1);
-	}
-}
-
 /* What a server says of itself, and what it then gets. */
 static const struct {
 	bool warm;
--- /dev/null
+++ b/tests/unit/test_cold_start.c
@@ -0,0 +1,136 @@
+#include "unit/suites.h"
+
+#include "unit/backend_home.h"
+
+UNIT_CASE("admission", "cold start", NULL, backend_teardown, UNIT_TIMEOUT_S);
+
+static void sign_restart(void)
+{
+	cm_backend_restart(&backend, now_ms);
+}
+
+static void sign_syn_resets(void)
+{
+	for (int i = 0; i < CM_COLD_SYN_RESETS; i++)
+		cm_backend_syn_reset(&backend, now_ms);
+}
+
+static void sign_slow(void)
+{
+	for (int i = 0; i < CM_COLD_SLOW_ANSWERS; i++)
+		cm_backend_answered(&backend, 20 * WARM_ANSWER_MS, now_ms);
+}
+
+static void sign_resets(void)
+{
+	for (int i = 0; i < CM_COLD_RESETS; i++) {
+		cm_backend_flow_reset(&backend, false, now_ms);
+		cm_backend_release(&backend, false);
+	}
+}
+
+/* A server that came up anew answers the segments of its connections so. */
+static void sign_unknown_flows(void)
+{
+	for (int i = 0; i < CM_COLD_UNKNOWN_FLOWS; i++)
+		cm_backend_flow_reset(&backend, true, now_ms);
+}
+
+static void sign_one_unknown_flow(void)
+{
+	for (int i = 0; i < CM_COLD_UNKNOWN_FLOWS; i++)
+		cm_backend_flow_reset(&backend, true,
+				      now_ms + 1000 * (uint64_t)i);
+}
+
+static void sign_few_resets(void)
+{
+	for (int i = 1; i < CM_COLD_RESETS; i++)
+		cm_backend_flow_reset(&backend, false, now_ms);
+}
+
+/* Three SYNs of the second before were not answered. */
+static void sign_silence(void)
+{
+	for (int i = 0; i < CM_COLD_SILENT_SYNS; i++)
+		ck_assert(admit(&backend, now_ms - CM_COLD_SILENCE_MS));
+	ck_assert(!admit(&backend, now_ms));
+}
+
+static void sign_one_syn_reset(void)
+{
+	cm_backend_syn_reset(&backend, now_ms);
+}
+
+static void sign_late_answer(void)
+{
+	cm_backend_answered(&backend, 400, now_ms);
+}
+
+static void sign_lost_syn(void)
+{
+	ck_assert(admit(&backend, now_ms - 5 * CM_COLD_SILENCE_MS));
+	ck_assert(admit(&backend, now_ms));
+}
+
+/* What the home sees, and whether it is a cold start. */
+static const struct {
+	void (*show)(void);
+	bool cold;
+} cold_signs[] = {
+	{ sign_restart, true },	      { sign_syn_resets, true },
+	{ sign_slow, true },	      { sign_resets, true },
+	{ sign_silence, true },	      { sign_one_syn_reset, false },
+	{ sign_late_answer, false },  { sign_lost_syn, false },
+	{ sign_unknown_flows, true }, { sign_one_unknown_flow, false },
+	{ sign_few_resets, false },
+};
+
+/* Connections that a server gets in a second when it answers none. */
+static uint32_t admitted_unanswered(void)
+{
+	uint32_t admitted = 0;
+
+	for (int i = 0; i < MS_PER_S; i++)
+		admitted += admit(&backend, now_ms + i);
+	return admitted;
+}
+
+TEST_TABLE(sign_begins_cold_start, cold_signs)
+{
+	bool cold = cold_signs[_i].cold;
+
+	start_warm(1000, 100);
+	now_ms += 10 * MS_PER_S;
+	cold_signs[_i].show();
+	read_status();
+	ck_assert_uint_eq(status.cold_starts, cold ? 2 : 1);
+	ck_assert_uint_eq(status.percent,
+			  cold ? CM_COLD_FLOOR_PERCENT : CM_PERCENT);
+	if (cold)
+		ck_assert_uint_le(admitted_unanswered(), CM_COLD_UNANSWERED);
+}
+
+/* Time alone warms nothing: a server that answers nothing stays cold. */
+TEST(ramp_needs_answers)
+{
+	start_cold(1000, 100);
+	now_ms += 100 * COLD_START_S * MS_PER_S;
+	read_status();
+	ck_assert_uint_eq(status.percent, CM_COLD_FLOOR_PERCENT);
+	ck_assert_uint_le(admitted_unanswered(), CM_COLD_UNANSWERED);
+}
+
+/* New connections in each second of the ramp, all answered at once. */
+TEST(ramp_follows_time)
+{
+	start_cold(100000, 100);
+	for (uint32_t s = 0; s < COLD_START_S; s++) {
+		uint32_t share = 10 + 90 * (s + 1) / COLD_START_S;
+		uint32_t admitted = 0;
+
+		for (uint32_t ms = 0; ms < MS_PER_S; ms++)
+			admitted += serve(&backend, now_ms++);
+		ck_assert_uint_le(admitted, share + 1);
+	}
+}
--- /dev/null
+++ b/tests/unit/test_logs.c
@@ -0,0 +1,153 @@
+#include "unit/suites.h"
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "chervilmast/histogram.h"
+#include "daemon/log.h"
+#include "daemon/log_buffer.h"
+#include "daemon/metrics_text.h"
+
+#define BUDGET 200
+#define FLOOD 100000
+
+static struct cm_log_buffer buffer;
+
+static void setup(void)
+{
+	cm_log_buffer_init(&buffer, BUDGET);
+}
+
+UNIT_CASE("logs", "logs", setup, NULL, UNIT_TIMEOUT_S);
+
+/* Ordinary decisions get half, refusals and changes of belief the rest. */
+TEST(flood_stays_within_the_budget)
+{
+	uint32_t placed = 0, refused = 0;
+
+	for (int i = 0; i < FLOOD; i++)
+		placed +=
+			cm_log_buffer_allows(&buffer, CM_EVENT_FLOW_PLACED, 7);
+	for (int i = 0; i < FLOOD; i++)
+		refused +=
+			cm_log_buffer_allows(&buffer, CM_EVENT_FLOW_REFUSED, 7);
+	ck_assert_uint_eq(placed, BUDGET / 2);
+	ck_assert_uint_eq(refused, BUDGET / 2);
+	ck_assert_uint_eq(buffer.left_out[CM_EVENT_FLOW_PLACED],
+			  FLOOD - BUDGET / 2);
+	ck_assert_uint_eq(buffer.left_out[CM_EVENT_FLOW_REFUSED],
+			  FLOOD - BUDGET / 2);
+	ck_assert(cm_log_buffer_allows(&buffer, CM_EVENT_FLOW_PLACED, 8));
+}
+
+/* Lines come out as they went in, round the end of the ring too. */
+TEST(ring_keeps_lines_whole)
+{
+	char line[64], got[64];
+	size_t length;
+
+	for (int i = 0; i < 5000; i++) {
+		int size = snprintf(line, sizeof(line), "line %d of many\n", i);
+		size_t used = 0;
+
+		cm_log_buffer_add(&buffer, CM_EVENT_STARTED, line,
+				  (size_t)size);
+		while (buffer.used) {
+			const char *bytes =
+				cm_log_buffer_next(&buffer, &length);
+
+			memcpy(got + used, bytes, length);
+			used += length;
+			cm_log_buffer_taken(&buffer, length);
+		}
+		ck_assert_uint_eq(used, (size_t)size);
+		ck_assert_mem_eq(got, line, used);
+	}
+}
+
+TEST(full_buffer_counts_what_it_leaves_out)
+{
+	static char line[1000];
+
+	memset(line, 'x', sizeof(line));
+	for (int i = 0; i < 100; i++)
+		cm_log_buffer_add(&buffer, CM_EVENT_PLAN, line, sizeof(line));
+	ck_assert_uint_eq(buffer.used, 65 * sizeof(line));
+	ck_assert_uint_eq(buffer.left_out[CM_EVENT_PLAN], 35);
+}
+
+/* Nobody reads standard output: logging goes on, and no call waits. */
+TEST(blocked_reader_holds_nobody_up)
+{
+	int ends[2];
+	int out = dup(STDOUT_FILENO);
+	uint64_t dropped;
+
+	ASSERT_OK(pipe(ends));
+	fflush(stdout);
+	dup2(ends[1], STDOUT_FILENO);
+	cm_log_init(CM_LOG_INFO);
+	cm_log_bound(0);
+	for (int i = 0; i < 10000; i++) {
+		cm_log(CM_EVENT_PLAN, "version=%d", i);
+		if (i % 10 == 0)
+			cm_log_flush();
+	}
+	dropped = cm_log_dropped();
+	dup2(out, STDOUT_FILENO);
+	close(out);
+	close(ends[0]);
+	close(ends[1]);
+	ck_assert_uint_gt(dropped, 5000);
+}
+
+static const struct {
+	uint64_t time;
+	int bucket;
+} times[] = {
+	{ 0, 0 }, { 1, 0 },   { 2, 1 },	     { 3, 2 },
+	{ 7, 3 }, { 100, 6 }, { 10000, 12 }, { 10001, 13 },
+};
+
+TEST_TABLE(time_goes_into_its_bucket, times)
+{
+	static struct cm_histograms histograms;
+	struct cm_histogram read;
+
+	memset(&histograms, 0, sizeof(histograms));
+	cm_histograms_add(&histograms, CM_H_FLOW, times[_i].time);
+	cm_histograms_read(&histograms, CM_H_FLOW, &read);
+	ck_assert_uint_eq(read.buckets[times[_i].bucket], 1);
+	ck_assert_uint_eq(read.sum, times[_i].time);
+}
+
+/* Buckets are cumulative in the text, and the last one holds all. */
+TEST(histogram_text_is_cumulative)
+{
+	static struct cm_histograms histograms;
+	GString *text = g_string_new(NULL);
+
+	cm_histograms_add(&histograms, CM_H_FLOW, 1);
+	cm_histograms_add(&histograms, CM_H_FLOW, 3);
+	cm_histograms_add(&histograms, CM_H_FLOW, 20000);
+	cm_metrics_append_histogram(text, &histograms, CM_H_FLOW);
+	ck_assert_ptr_nonnull(strstr(text->str,
+				     "# TYPE chervilmast_flow_milliseconds "
+				     "histogram\n"));
+	ck_assert_ptr_nonnull(
+		strstr(text->str,
+		       "chervilmast_flow_milliseconds_bucket{le=\"1\"} 1\n"));
+	ck_assert_ptr_nonnull(
+		strstr(text->str,
+		       "chervilmast_flow_milliseconds_bucket{le=\"5\"} 2\n"));
+	ck_assert_ptr_nonnull(strstr(
+		text->str,
+		"chervilmast_flow_milliseconds_bucket{le=\"+Inf\"} 3\n"));
+	ck_assert_ptr_nonnull(
+		strstr(text->str, "chervilmast_flow_milliseconds_sum 20004\n"));
+	ck_assert_ptr_nonnull(
+		strstr(text->str, "chervilmast_flow_milliseconds_count 3\n"));
+	g_string_free(text, TRUE);
+}
--- a/tests/unit/test_publication.c
+++ b/tests/unit/test_publication.c
@@ -5,65 +5,7 @@
 #include <string.h>
 
 #include "chervilmast/error.h"
-#include "config/note_json.h"
-#include "config/publication.h"
-#include "config/publication_keys.h"
-#include "fake/notes.h"
-#include "fake/store.h"
-
-#define SERVERS 4
-#define HEAD_SIZE 256
-#define LARGE_SERVERS 7000
-
-/* A store with a publisher, and how many ids it has used. */
-static struct fake_service service;
-static struct fake_publisher publisher;
-static struct fake_store *const store = &publisher.store;
-static struct cm_publication *const publication = &publisher.publication;
-static uint64_t ids;
-
-static void setup(void)
-{
-	fake_service_init(&service);
-	fake_publisher_init(&publisher, &service);
-	ids = 0;
-}
-
-static void teardown(void)
-{
-	fake_service_finish(&service);
-}
-
-static int publish_first(uint32_t servers)
-{
-	struct cm_note note;
-
-	fake_note_first(&note, servers);
-	return fake_publisher_publish(&publisher, &note, ++ids);
-}
-
-static int publish_change(uint32_t slots)
-{
-	struct cm_note note;
-
-	fake_note_change(&note, slots % SERVERS, 1 + slots % 1000);
-	return fake_publisher_publish(&publisher, &note, ++ids);
-}
-
-/* Publishes the first note and changes up to a version. */
-static void publish_up_to(uint64_t version)
-{
-	ASSERT_OK(publish_first(SERVERS));
-	for (uint32_t i = 2; i <= version; i++)
-		ASSERT_OK(publish_change(i));
-}
-
-/* From now on each call meets what a function says. */
-static void meet_faults(void (*before_call)(struct fake_store *store))
-{
-	store->calls = 0;
-	store->before_call = before_call;
-}
+#include "unit/publication_store.h"
 
 static uint64_t head_version(void)
 {
@@ -129,7 +71,7 @@
 		fake_service_carry_out(&service, 0);
 }
 
-UNIT_CASE("publication", "store", setup, teardown, 0);
+UNIT_CASE("publication", "store", publication_setup, publication_teardown, 0);
 
 TEST_TABLE(outcome_of_a_swap_is_found, swap_faults)
 {
@@ -186,48 +128,6 @@
 	}
 }
 
-static void assert_same_set(const struct cm_history_set *a,
-			    const struct cm_history_set *b)
-{
-	ck_assert_uint_eq(a->count, b->count);
-	for (uint32_t i = 0; i < a->count; i++) {
-		ck_assert_uint_eq(a->servers[i].hash, b->servers[i].hash);
-		ck_assert_uint_eq(a->servers[i].slots, b->servers[i].slots);
-	}
-}
-
-static void assert_same_view(const struct cm_view *a, const struct cm_view *b)
-{
-	const struct cm_catalog *x = &a->catalog;
-	const struct cm_catalog *y = &b->catalog;
-
-	ck_assert_uint_eq(x->version, y->version);
-	ck_assert_mem_eq(x->publication_id, y->publication_id,
-			 CM_PUBLICATION_ID_SIZE);
-	ck_assert_uint_eq(x->service_count, y->service_count);
-	ck_assert_uint_eq(x->domain_count, y->domain_count);
-	ck_assert_uint_eq(x->server_count, y->server_count);
-	for (uint32_t i = 0; i < x->server_count; i++) {
-		ck_assert_str_eq(x->servers[i].spec.name,
-				 y->servers[i].spec.name);
-		ck_assert_uint_eq(x->servers[i].spec.slots,
-				  y->servers[i].spec.slots);
-		ck_assert_int_eq(x->servers[i].spec.state,
-				 y->servers[i].spec.state);
-		ck_assert_uint_eq(x->servers[i].withdrawn_at_s,
-				  y->servers[i].withdrawn_at_s);
-		ck_assert_uint_eq(x->servers[i].hash, y->servers[i].hash);
-	}
-	for (uint32_t i = 0; i < x->service_count; i++) {
-		const struct cm_history_service *s = &a->history.services[i];
-		const struct cm_history_service *t = &b->history.services[i];
-
-		ck_assert_uint_eq(s->count, t->count);
-		for (uint32_t k = 0; k < s->count; k++)
-			assert_same_set(&s->sets[k], &t->sets[k]);
-	}
-}
-
 TEST(snapshot_equals_its_notes)
 {
 	struct cm_publication_head head;
@@ -316,11 +216,6 @@
 	cm_view_finish(&view);
 }
 
-static void put_value(const char *key, const char *text)
-{
-	fake_kv_put(&service.kv, key, text, strlen(text));
-}
-
 TEST(contradicting_head_is_refused)
 {
 	struct cm_publication_head head;
@@ -334,90 +229,3 @@
 	ck_assert_int_eq(cm_publication_read_view(publication, &view, &head),
 			 CM_E_CONTRADICTION);
 }
-
-static void large_view(struct cm_view *view, uint64_t version)
-{
-	struct cm_view empty;
-	struct cm_note note;
-
-	fake_note_first(&note, LARGE_SERVERS);
-	fake_note_set_id(&note, 1);
-	note.version = version;
-	note.published_at_s = FAKE_PUBLISHED_S;
-	cm_view_init(&empty);
-	empty.catalog.version = version - 1;
-	ASSERT_OK(cm_view_apply_note(view, &empty, &note));
-	cm_note_finish(&note);
-}
-
-TEST(large_catalog_is_split)
-{
-	struct cm_snapshot_reader reader;
-	struct cm_snapshot_parts parts;
-	struct cm_json_error error;
-	struct cm_view view, read;
-
-	large_view(&view, 1);
-	cm_view_init(&read);
-	ASSERT_OK(cm_catalog_write(&view.catalog, &view.history, &parts));
-	ck_assert_uint_gt(parts.count, 1);
-	cm_snapshot_reader_init(&reader);
-	for (uint32_t i = 0; i < parts.count; i++) {
-		ck_assert_uint_le(parts.items[i].size, CM_SNAPSHOT_PART_MAX);
-		ck_assert(!cm_snapshot_reader_is_whole(&reader));
-		ASSERT_OK(cm_snapshot_reader_add(&reader, parts.items[i].text,
-						 parts.items[i].size, &error));
-	}
-	ck_assert_int_eq(cm_snapshot_reader_add(&reader, parts.items[0].text,
-						parts.items[0].size, &error),
-			 CM_E_PROTOCOL);
-	ASSERT_OK(cm_snapshot_reader_build(&reader, &read.catalog,
-					   &read.history));
-	assert_same_view(&view, &read);
-	cm_snapshot_reader_finish(&reader);
-	cm_snapshot_parts_finish(&parts);
-	cm_view_finish(&view);
-	cm_view_finish(&read);
-}
-
-/* Begins with a large catalog, two versions before a snapshot is due. */
-static void start_large(void)
-{
-	static const uint8_t id[CM_PUBLICATION_ID_SIZE] = { 1 };
-	const uint64_t version = CM_SNAPSHOT_INTERVAL - 2;
-	struct cm_snapshot_parts parts;
-	char key[CM_KEY_SIZE], value[HEAD_SIZE], text[CM_PUBLICATION_TEXT_SIZE];
-	struct cm_view view;
-
-	large_view(&view, version);
-	ASSERT_OK(cm_catalog_write(&view.catalog, &view.history, &parts));
-	for (uint32_t i = 0; i < parts.count; i++) {
-		cm_key_snapshot(publication, version, id, i, key);
-		put_value(key, parts.items[i].text);
-	}
-	cm_publication_id_write(id, text);
-	snprintf(value, sizeof(value),
-		 "{\"version\":%d,\"publication_id\":\"%s\","
-		 "\"snapshot\":%d,\"snapshot_id\":\"%s\"}",
-		 CM_SNAPSHOT_INTERVAL - 2, text, CM_SNAPSHOT_INTERVAL - 2,
-		 text);
-	cm_key_head(publication, key);
-	put_value(key, value);
-	cm_snapshot_parts_finish(&parts);
-	cm_view_finish(&view);
-}
-
-TEST(large_snapshot_fits_the_request_limit)
-{
-	struct cm_publication_head head;
-	struct cm_view view;
-
-	start_large();
-	ASSERT_OK(publish_change(1));
-	ASSERT_OK(publish_change(2));
-	ASSERT_OK(cm_publication_read_view(publication, &view, &head));
-	ck_assert_uint_eq(head.snapshot, CM_SNAPSHOT_INTERVAL - 1);
-	ck_assert_uint_eq(view.catalog.server_count, LARGE_SERVERS);
-	ck_assert_uint_eq(view.history.services[0].count, 2);
-	cm_view_finish(&view);
-}
--- a/tests/unit/test_steer.c
+++ b/tests/unit/test_steer.c
@@ -113,6 +113,28 @@
 	ck_assert_uint_ne(again.server_id, first.server_id);
 }
 
+/* It is reached, so the SYN or its answer was lost: two servers must not answer
+ * one flow. The last repetition goes elsewhere all the same. */
+TEST(repeated_syn_stays_with_a_server_that_a_probe_reached)
+{
+	struct cm_steer_verdict first, again;
+	struct cm_endpoint address;
+
+	steering_ready(3);
+	first = steering_syn(1, 0);
+	steering_pass(100);
+	ck_assert_uint_eq(cm_steer_next_probe(&steering, steering_ms, &address),
+			  first.token);
+	cm_steer_reached(&steering, steering_ms, first.token);
+	steering_pass(100);
+	again = steering_syn(1, 1);
+	ck_assert_uint_eq(again.server_id, first.server_id);
+	ck_assert_int_eq(again.reason, CM_C_STEER_SYN_REPEATED);
+	steering_pass(400);
+	again = steering_syn(1, 2);
+	ck_assert_uint_ne(again.server_id, first.server_id);
+}
+
 /* A node that stood still says nothing of the servers. */
 TEST(pause_makes_no_server_suspected)
 {
--- a/tests/unit/test_steer_outage.c
+++ b/tests/unit/test_steer_outage.c
@@ -134,7 +134,7 @@
 	ck_assert(!cm_steer_is_ready(&steering, steering_ms));
 	token = cm_steer_next_probe(&steering, steering_ms, &address);
 	ck_assert_uint_ne(token, 0);
-	cm_steer_reached(&steering, token);
+	cm_steer_reached(&steering, steering_ms, token);
 	ck_assert(cm_steer_is_ready(&steering, steering_ms));
 }
 
@@ -160,7 +160,7 @@
 	ck_assert_uint_eq(address.address, first.server.address);
 	ck_assert_uint_eq(cm_steer_next_probe(&steering, steering_ms, &address),
 			  0);
-	cm_steer_reached(&steering, first.token);
+	cm_steer_reached(&steering, steering_ms, first.token);
 	ck_assert_uint_eq(steering_syn(50, 0).server_id, first.server_id);
 	ck_assert_uint_ne(steering_syn(51, 0).server_id, first.server_id);
 }
@@ -220,7 +220,7 @@
 		steering_packet(port, verdict.token, CM_STEER_ACK);
 	}
 	token = cm_steer_next_probe(&steering, steering_ms, &address);
-	cm_steer_reached(&steering, token);
+	cm_steer_reached(&steering, steering_ms, token);
 	ck_assert_uint_eq(steering_syn(port, 0).token, token);
 	steering_packet(port++, token, CM_STEER_ACK);
 	remote = 0;
