--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 INCLUDE_DIR = $(DESTDIR)$(PREFIX)/include/chervilmast
 LIB_DIR = $(DESTDIR)$(PREFIX)/lib
 
-.PHONY: soak-processes process-check all install embed packages packet-rate run tsan check unit soak \
+.PHONY: measure-steer soak-processes process-check all install embed packages packet-rate run tsan check unit soak \
 	soak-check mutants measure measure-admission membership-figures \
 	format format-check lint clean
 .SECONDARY:
@@ -118,6 +118,15 @@
 	@echo "LD $@"
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(LIBS)
 
+$(BUILD)/measure-steer: $(call object,bench/programs/steer.c $(SHELL_SRC)) \
+		$(BUILD)/libchervilmast.a
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(LIBS)
+
+# Decisions of a node that steers by token, for some sizes of a fleet.
+measure-steer: $(BUILD)/measure-steer
+	$(BUILD)/measure-steer
+
 membership-figures: $(BUILD)/membership-figures
 	$(BUILD)/membership-figures
 
--- a/include/chervilmast/server_health.h
+++ b/include/chervilmast/server_health.h
@@ -16,6 +16,11 @@
 #define CM_HEALTH_PROBE_MS 200
 /** Longest pause between probes of a suspected server, ms. */
 #define CM_HEALTH_PROBE_MAX_MS 1600
+/**
+ * Time without probes of a server that was reached and left the next SYN
+ * unanswered, ms; longer than the entry of a server stays after its end.
+ */
+#define CM_HEALTH_REST_MS 6000
 
 /**
  * struct cm_server_health - what a node saw of a backend server
@@ -23,6 +28,7 @@
  * @unanswered_ms: when the last of them was sent
  * @is_reached: a probe reached the server after the last of them
  * @reached_ms: when a probe last reached it; 0 for never
+ * @rests_until_ms: no probe before; 0 for no rest
  * @probes: probes since the server was last reached
  * @probed_ms: when the last probe began
  * @tried_ms: when the server last got a flow
@@ -36,6 +42,7 @@
 	uint64_t unanswered_ms;
 	bool is_reached;
 	uint64_t reached_ms;
+	uint64_t rests_until_ms;
 	uint32_t probes;
 	uint64_t probed_ms;
 	uint64_t tried_ms;
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -123,6 +123,7 @@
  * struct cm_steer - a node that steers by token
  * @lock: guards all below but @counters
  * @config: its settings
+ * @domain_hash: hash of the name of its failure domain
  * @plan: the plan in force; version 0 before the first
  * @servers: the backend servers
  * @peers: the nodes of the fleet
@@ -147,6 +148,7 @@
 struct cm_steer {
 	pthread_mutex_t lock;
 	struct cm_steer_config config;
+	uint64_t domain_hash;
 	struct cm_steer_plan plan;
 	struct cm_steer_servers servers;
 	struct cm_steer_peers peers;
--- a/include/chervilmast/steer_peer.h
+++ b/include/chervilmast/steer_peer.h
@@ -33,11 +33,13 @@
 /**
  * struct cm_steer_peer - a node
  * @entry: what the registry said last
+ * @domain_hash: hash of the name of its failure domain
  * @is_lapsed: its entry went while the registry could not be reached
  * @link: link in the list of all
  */
 struct cm_steer_peer {
 	struct cm_peer_entry entry;
+	uint64_t domain_hash;
 	bool is_lapsed;
 	TAILQ_ENTRY(cm_steer_peer) link;
 };
--- a/include/chervilmast/steer_server.h
+++ b/include/chervilmast/steer_server.h
@@ -58,6 +58,8 @@
  * struct cm_steer_server - a backend server
  * @entry: what the registry said last
  * @token: names the server in packets; not 0
+ * @service_hash: hash of the name of its service
+ * @domain_hash: hash of the name of its failure domain
  * @listing: where it stands in the registry
  * @listing_ms: since when
  * @cold_until_ms: end of its cold start
@@ -73,6 +75,8 @@
 struct cm_steer_server {
 	struct cm_server_entry entry;
 	uint32_t token;
+	uint64_t service_hash;
+	uint64_t domain_hash;
 	enum cm_listing listing;
 	uint64_t listing_ms;
 	uint64_t cold_until_ms;
@@ -112,6 +116,14 @@
  */
 uint32_t cm_steer_token(uint64_t id, uint64_t born_ms);
 
+/**
+ * cm_steer_name_hash() - hash of a name, which stands for it in choices
+ * @name: the name
+ *
+ * Return: 64 bits.
+ */
+uint64_t cm_steer_name_hash(const char *name);
+
 /**
  * cm_steer_servers_init() - make an empty table
  * @servers: memory of the caller
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -1,8 +1,6 @@
 #include "chervilmast/server_health.h"
 
 #define EIGHTHS 8
-/** Probes after which they are as rare as they get. */
-#define PROBES_UNTIL_RARE 4
 /** Longest time of a flow that is taken for work of the server, ms. */
 #define SERVICE_MAX_MS 10000
 
@@ -23,9 +21,9 @@
 		return false;
 	health->unanswered++;
 	health->unanswered_ms = sent_ms;
-	/* A probe that reached it said too much: the next one can wait. */
-	if (health->unanswered > 1 && health->probes)
-		health->probes = PROBES_UNTIL_RARE;
+	/* Who was reached is not this server: another one has its address. */
+	if (health->reached_ms && sent_ms >= health->reached_ms)
+		health->rests_until_ms = sent_ms + CM_HEALTH_REST_MS;
 	health->is_reached = false;
 	return health->unanswered == 1;
 }
@@ -62,6 +60,8 @@
 {
 	if (!health->unanswered || health->is_reached)
 		return false;
+	if (now_ms < health->rests_until_ms)
+		return false;
 	return !health->probes ||
 	       now_ms >= health->probed_ms + probe_pause_ms(health);
 }
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -22,89 +22,108 @@
 #define FULL_PER_SLOT 2
 /** Silent servers by which a whole failure domain is in doubt. */
 #define DOUBT_SERVERS 2
+/** Most failure domains that a choice tells apart. */
+#define DOMAINS_MAX 32
 /** Flows that a cold server may get at once, thousandths. */
 #define COLD_BURST 2000
 
+/**
+ * struct domain - what a choice looks at of a failure domain
+ * @hash: hash of its name
+ * @nodes: nodes of the fleet in it
+ * @has_candidate: one of its servers may get the flow
+ * @silent: its servers whose last SYN got no answer
+ * @silent_ms: when the last of these SYNs was sent
+ * @answered_ms: when one of its servers last answered
+ */
+struct domain {
+	uint64_t hash;
+	uint32_t nodes;
+	bool has_candidate;
+	uint32_t silent;
+	uint64_t silent_ms;
+	uint64_t answered_ms;
+};
+
 /**
  * struct outlook - what a choice looks at beside each server
  * @choice: what it is about
+ * @service_hash: hash of the service's name
  * @usual_sum: sum of the known times of servers, eighths of ms
  * @usual_count: number of servers in @usual_sum
  * @strangers: nodes of failure domains without a server of the service; they
  *             give their flows to all others
+ * @domains: the failure domains
+ * @domain_count: number of @domains
  */
 struct outlook {
 	const struct cm_choice *choice;
+	uint64_t service_hash;
 	uint64_t usual_sum;
 	uint32_t usual_count;
 	uint32_t strangers;
+	struct domain domains[DOMAINS_MAX];
+	uint32_t domain_count;
 };
 
 static bool is_candidate(const struct cm_steer *steer,
 			 const struct cm_steer_server *server,
-			 const struct cm_choice *choice)
+			 const struct outlook *outlook)
 {
-	return !strcmp(server->entry.service, choice->service) &&
-	       cm_steer_server_is_usable(steer, server, choice->now_ms) &&
-	       cm_steer_servers_by_token(&steer->servers, server->token) ==
-		       server;
+	return server->service_hash == outlook->service_hash &&
+	       cm_steer_server_is_usable(steer, server,
+					 outlook->choice->now_ms);
 }
 
-static bool domain_has_candidate(const struct cm_steer *steer,
-				 const struct cm_choice *choice,
-				 const char *domain)
+/* Of servers that share a token only the first can be named by it. */
+static bool is_named_by_token(const struct cm_steer *steer,
+			      const struct cm_steer_server *server)
 {
-	const struct cm_steer_server *server;
-
-	TAILQ_FOREACH (server, &steer->servers.all, link)
-		if (!strcmp(server->entry.domain, domain) &&
-		    is_candidate(steer, server, choice))
-			return true;
-	return false;
+	return cm_steer_servers_by_token(&steer->servers, server->token) ==
+	       server;
 }
 
-/* Nodes of one domain stand together as a rule: the domain is looked up once.
- */
-static uint32_t count_strangers(const struct cm_steer *steer,
-				const struct cm_choice *choice)
+static const struct domain *find_domain(const struct outlook *outlook,
+					uint64_t hash)
 {
-	const struct cm_steer_peer *peer;
-	const char *domain = NULL;
-	bool has_candidate = true;
-	uint32_t count = 0;
+	for (uint32_t i = 0; i < outlook->domain_count; i++)
+		if (outlook->domains[i].hash == hash)
+			return &outlook->domains[i];
+	return NULL;
+}
 
-	TAILQ_FOREACH (peer, &steer->peers.all, link) {
-		if (!domain || strcmp(domain, peer->entry.domain) != 0) {
-			domain = peer->entry.domain;
-			has_candidate =
-				domain_has_candidate(steer, choice, domain);
-		}
-		count += !has_candidate;
-	}
-	return count;
+/* NULL when there are more than a choice tells apart. */
+static struct domain *get_domain(struct outlook *outlook, uint64_t hash)
+{
+	struct domain *domain = (struct domain *)find_domain(outlook, hash);
+
+	if (domain || outlook->domain_count == DOMAINS_MAX)
+		return domain;
+	domain = &outlook->domains[outlook->domain_count++];
+	memset(domain, 0, sizeof(*domain));
+	domain->hash = hash;
+	return domain;
 }
 
 /* Nodes that give flows to a server, this one included. */
-static uint32_t sharers(const struct cm_steer *steer,
-			const struct cm_steer_server *server,
+static uint32_t sharers(const struct cm_steer_server *server,
 			const struct outlook *outlook)
 {
-	uint32_t count = outlook->strangers +
-			 cm_steer_peers_in(&steer->peers, server->entry.domain);
+	const struct domain *domain = find_domain(outlook, server->domain_hash);
+	uint32_t count = outlook->strangers + (domain ? domain->nodes : 0);
 
 	return count ? count : SHARERS_DEFAULT;
 }
 
 /* Flows of all nodes for each slot, in thousandths, if all are like this one.
  */
-static uint64_t load(const struct cm_steer *steer,
-		     const struct cm_steer_server *server,
+static uint64_t load(const struct cm_steer_server *server,
 		     const struct outlook *outlook)
 {
 	if (!server->open)
 		return 0;
-	return (uint64_t)server->open * sharers(steer, server, outlook) *
-	       PER_MILLE / server->entry.slots;
+	return (uint64_t)server->open * sharers(server, outlook) * PER_MILLE /
+	       server->entry.slots;
 }
 
 static bool service_time_is_known(const struct cm_steer_server *server,
@@ -132,10 +151,10 @@
 		     const struct cm_steer_server *server,
 		     const struct outlook *outlook)
 {
-	uint64_t sum = (PER_MILLE + load(steer, server, outlook)) *
+	uint64_t sum = (PER_MILLE + load(server, outlook)) *
 		       slowness(server, outlook) / PER_MILLE;
 
-	if (strcmp(server->entry.domain, steer->config.domain) != 0)
+	if (server->domain_hash != steer->domain_hash)
 		sum += REMOTE_COST;
 	if (outlook->choice->now_ms < server->cold_until_ms)
 		sum += COLD_COST;
@@ -168,8 +187,8 @@
 	service = cm_steer_plan_service(&steer->plan, server->entry.service);
 	if (!service || !service->cold_per_s)
 		return true;
-	refill_cold(server, service->cold_per_s,
-		    sharers(steer, server, outlook), now_ms);
+	refill_cold(server, service->cold_per_s, sharers(server, outlook),
+		    now_ms);
 	return server->cold_tokens >= PER_MILLE;
 }
 
@@ -177,39 +196,61 @@
  * Several servers of a failure domain are silent and none has answered since:
  * the domain may be cut off, and its other servers with it.
  */
-static bool domain_is_in_doubt(const struct cm_steer *steer, const char *domain)
+static bool domain_is_in_doubt(const struct outlook *outlook, uint64_t hash)
 {
-	const struct cm_steer_server *server;
-	uint64_t silent_ms = 0, answered_ms = 0;
-	uint32_t silent = 0;
+	const struct domain *domain = find_domain(outlook, hash);
 
-	TAILQ_FOREACH (server, &steer->servers.all, link) {
-		const struct cm_server_health *health = &server->health;
+	return domain && domain->silent >= DOUBT_SERVERS &&
+	       domain->answered_ms < domain->silent_ms;
+}
 
-		if (strcmp(server->entry.domain, domain) != 0)
-			continue;
-		silent += health->unanswered && server->listing != CM_LEFT;
-		if (health->unanswered && health->unanswered_ms > silent_ms)
-			silent_ms = health->unanswered_ms;
-		if (health->answered_ms > answered_ms)
-			answered_ms = health->answered_ms;
-	}
-	return silent >= DOUBT_SERVERS && answered_ms < silent_ms;
+static void look_at_health(struct domain *domain,
+			   const struct cm_steer_server *server)
+{
+	const struct cm_server_health *health = &server->health;
+
+	if (health->unanswered && server->listing != CM_LEFT)
+		domain->silent++;
+	if (health->unanswered && health->unanswered_ms > domain->silent_ms)
+		domain->silent_ms = health->unanswered_ms;
+	if (health->answered_ms > domain->answered_ms)
+		domain->answered_ms = health->answered_ms;
+}
+
+static void look_at_server(const struct cm_steer *steer,
+			   struct outlook *outlook,
+			   const struct cm_steer_server *server)
+{
+	struct domain *domain = get_domain(outlook, server->domain_hash);
+
+	if (domain)
+		look_at_health(domain, server);
+	if (!is_candidate(steer, server, outlook))
+		return;
+	if (domain)
+		domain->has_candidate = true;
+	if (!service_time_is_known(server, outlook->choice->now_ms))
+		return;
+	outlook->usual_sum += server->health.service_eighths;
+	outlook->usual_count++;
 }
 
 static void look(const struct cm_steer *steer, struct outlook *outlook)
 {
-	const struct cm_choice *choice = outlook->choice;
 	const struct cm_steer_server *server;
+	const struct cm_steer_peer *peer;
 
-	outlook->strangers = count_strangers(steer, choice);
-	TAILQ_FOREACH (server, &steer->servers.all, link) {
-		if (!is_candidate(steer, server, choice) ||
-		    !service_time_is_known(server, choice->now_ms))
-			continue;
-		outlook->usual_sum += server->health.service_eighths;
-		outlook->usual_count++;
+	TAILQ_FOREACH (server, &steer->servers.all, link)
+		look_at_server(steer, outlook, server);
+	TAILQ_FOREACH (peer, &steer->peers.all, link) {
+		struct domain *domain = get_domain(outlook, peer->domain_hash);
+
+		if (domain)
+			domain->nodes++;
 	}
+	for (uint32_t i = 0; i < outlook->domain_count; i++)
+		if (!outlook->domains[i].has_candidate)
+			outlook->strangers += outlook->domains[i].nodes;
 }
 
 static bool is_better(const struct cm_steer_server *server, uint64_t its_cost,
@@ -229,13 +270,13 @@
 {
 	const struct cm_choice *choice = outlook->choice;
 
-	if (!is_candidate(steer, server, choice) ||
+	if (!is_candidate(steer, server, outlook) ||
 	    server->token == choice->avoid_token)
 		return false;
 	if (!cm_server_health_may_try(&server->health))
 		return false;
 	if (!server->health.is_reached &&
-	    domain_is_in_doubt(steer, server->entry.domain))
+	    domain_is_in_doubt(outlook, server->domain_hash))
 		return false;
 	return cold_start_allows(steer, server, outlook);
 }
@@ -253,10 +294,11 @@
 
 		if (!may_get(steer, server, outlook))
 			continue;
-		if (load(steer, server, outlook) < FULL_PER_SLOT * PER_MILLE)
+		if (load(server, outlook) < FULL_PER_SLOT * PER_MILLE)
 			*is_full = false;
 		its_cost = cost(steer, server, outlook);
-		if (!is_better(server, its_cost, best, best_cost))
+		if (!is_better(server, its_cost, best, best_cost) ||
+		    !is_named_by_token(steer, server))
 			continue;
 		best = server;
 		best_cost = its_cost;
@@ -271,7 +313,8 @@
 	struct cm_steer_server *server, *best = NULL;
 
 	TAILQ_FOREACH (server, &steer->servers.all, link) {
-		if (!is_candidate(steer, server, outlook->choice) ||
+		if (!is_candidate(steer, server, outlook) ||
+		    !is_named_by_token(steer, server) ||
 		    !cold_start_allows(steer, server, outlook))
 			continue;
 		if (!best || server->health.tried_ms < best->health.tried_ms)
@@ -284,7 +327,10 @@
 					const struct cm_choice *choice,
 					bool *is_full)
 {
-	struct outlook outlook = { .choice = choice };
+	struct outlook outlook = {
+		.choice = choice,
+		.service_hash = cm_steer_name_hash(choice->service),
+	};
 	struct cm_steer_server *server;
 
 	look(steer, &outlook);
--- a/src/core/steer_peer.c
+++ b/src/core/steer_peer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "chervilmast/error.h"
+#include "chervilmast/steer_server.h"
 
 void cm_steer_peers_init(struct cm_steer_peers *peers)
 {
@@ -50,6 +51,7 @@
 		peers->count++;
 	}
 	peer->entry = *entry;
+	peer->domain_hash = cm_steer_name_hash(entry->domain);
 	peer->is_lapsed = false;
 	return CM_OK;
 }
--- a/src/core/steer_server.c
+++ b/src/core/steer_server.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "chervilmast/error.h"
 
@@ -29,6 +30,11 @@
 	return token ? token : 1;
 }
 
+uint64_t cm_steer_name_hash(const char *name)
+{
+	return XXH3_64bits(name, strlen(name));
+}
+
 void cm_steer_servers_init(struct cm_steer_servers *servers)
 {
 	memset(servers, 0, sizeof(*servers));
@@ -138,6 +144,8 @@
 	if (known && known != latest)
 		cm_steer_server_set_listing(known, CM_LEFT, now_ms);
 	latest->entry = *entry;
+	latest->service_hash = cm_steer_name_hash(entry->service);
+	latest->domain_hash = cm_steer_name_hash(entry->domain);
 	latest->cold_until_ms = now_ms + entry->cold_left_ms;
 	cm_steer_server_set_listing(latest, CM_LISTED, now_ms);
 	if (server)
--- a/tests/unit/test_steer_outage.c
+++ b/tests/unit/test_steer_outage.c
@@ -165,6 +165,34 @@
 	ck_assert_uint_ne(steering_syn(51, 0).server_id, first.server_id);
 }
 
+/* Another server has its address: probes reach that one, SYNs go unanswered. */
+TEST(server_that_is_reached_but_silent_rests)
+{
+	struct cm_endpoint address;
+	struct cm_steer_verdict first;
+	uint32_t tries = 0;
+
+	steering_ready(2);
+	first = steering_syn(1, 0);
+	for (uint16_t port = 2; port <= 200; port++) {
+		uint32_t token;
+		struct cm_steer_verdict verdict;
+
+		steering_pass(25);
+		token = cm_steer_next_probe(&steering, steering_ms, &address);
+		if (token)
+			cm_steer_reached(&steering, steering_ms, token);
+		verdict = steering_syn(port, 0);
+		tries += verdict.server_id == first.server_id;
+		if (verdict.server_id == first.server_id)
+			continue;
+		steering_packet(port, verdict.token, CM_STEER_ACK);
+		steering_packet(port, verdict.token, CM_STEER_FIN);
+	}
+	/* 5 s: longer than the entry of a dead server stays. */
+	ck_assert_uint_eq(tries, 1);
+}
+
 /* Probes of one server: at once, then after 200, 400, 800, 1600, 1600 ms. */
 TEST(probes_become_rarer)
 {
