Share in a failure domain which servers are silent; capacity and proofs

Change: with each question to the source an instance tells which servers it suspects by what it saw itself; the answer tells what all of them suspect. A server that only others suspect is probed before it gets the next flow; that word holds for 2 s, and an own answer or probe weighs more. A node that no server answers says nothing of servers.

--- a/include/chervilmast/message.h
+++ b/include/chervilmast/message.h
@@ -192,12 +192,27 @@
 	uint32_t server_count;
 };
 
+/** Most suspects in one message. */
+#define CM_MESSAGE_SUSPECTS_MAX 64
+
+/**
+ * struct cm_message_suspects - backend servers that seem to be silent
+ * @tokens: tokens of the servers
+ * @count: number of @tokens
+ */
+struct cm_message_suspects {
+	uint32_t tokens[CM_MESSAGE_SUSPECTS_MAX];
+	uint32_t count;
+};
+
 /**
  * struct cm_message_items_request - body of ITEMS_REQUEST
  * @after: revision up to which the sender knows the registry; 0 for nothing
+ * @suspects: servers that the sender suspects by what it saw itself
  */
 struct cm_message_items_request {
 	uint64_t after;
+	struct cm_message_suspects suspects;
 };
 
 /**
@@ -223,6 +238,7 @@
  * @is_all: the items are all that there are, not only what changed
  * @items: the items; owned
  * @count: number of @items
+ * @suspects: servers that instances of the sender's domain suspect
  */
 struct cm_message_items {
 	uint64_t revision;
@@ -230,6 +246,7 @@
 	bool is_all;
 	struct cm_message_item *items;
 	uint32_t count;
+	struct cm_message_suspects suspects;
 };
 
 /**
--- a/include/chervilmast/server_health.h
+++ b/include/chervilmast/server_health.h
@@ -26,6 +26,7 @@
  * struct cm_server_health - what a node saw of a backend server
  * @unanswered: SYNs in a row that got no answer
  * @unanswered_ms: when the last of them was sent
+ * @doubted_until_ms: until then another node's suspicion holds; 0 for none
  * @is_reached: a probe reached the server after the last of them
  * @reached_ms: when a probe last reached it; 0 for never
  * @rests_until_ms: no probe before; 0 for no rest
@@ -40,6 +41,7 @@
 struct cm_server_health {
 	uint32_t unanswered;
 	uint64_t unanswered_ms;
+	uint64_t doubted_until_ms;
 	bool is_reached;
 	uint64_t reached_ms;
 	uint64_t rests_until_ms;
@@ -73,6 +75,16 @@
 bool cm_server_health_unanswered(struct cm_server_health *health,
 				 uint64_t sent_ms);
 
+/**
+ * cm_server_health_doubt() - another node suspects the server
+ * @health: what was seen
+ * @now_ms: current time
+ *
+ * Its word alone only makes this node probe the server before it gives it the
+ * next flow. An answer of the last moments weighs more.
+ */
+void cm_server_health_doubt(struct cm_server_health *health, uint64_t now_ms);
+
 /**
  * cm_server_health_ended() - a flow ended as it should
  * @health: what was seen
@@ -120,10 +132,12 @@
 /**
  * cm_server_health_may_try() - whether a server gets flows
  * @health: what was seen
+ * @now_ms: current time
  *
  * Return: false for a suspected server that no probe has reached.
  */
-bool cm_server_health_may_try(const struct cm_server_health *health);
+bool cm_server_health_may_try(const struct cm_server_health *health,
+			      uint64_t now_ms);
 
 /**
  * cm_server_health_tried() - a flow goes to the server
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -357,6 +357,29 @@
 void cm_steer_take_changes(struct cm_steer *steer,
 			   struct cm_steer_changes *changes);
 
+/**
+ * cm_steer_suspects() - servers that this node suspects by what it saw itself
+ * @steer: the node
+ * @tokens: set to their tokens
+ * @most: room in @tokens
+ *
+ * A node that no server answers says nothing of servers.
+ *
+ * Return: number of @tokens.
+ */
+uint32_t cm_steer_suspects(struct cm_steer *steer, uint32_t *tokens,
+			   uint32_t most);
+
+/**
+ * cm_steer_doubt() - other nodes suspect servers
+ * @steer: the node
+ * @now_ms: current time
+ * @tokens: tokens of the servers
+ * @count: number of @tokens
+ */
+void cm_steer_doubt(struct cm_steer *steer, uint64_t now_ms,
+		    const uint32_t *tokens, uint32_t count);
+
 /**
  * cm_steer_idle_ms() - time since a packet was last sent on
  * @steer: the node
--- a/src/adapters/message_msgpack.c
+++ b/src/adapters/message_msgpack.c
@@ -158,11 +158,20 @@
 	}
 }
 
+static void put_suspects(msgpack_packer *packer,
+			 const struct cm_message_suspects *suspects)
+{
+	msgpack_pack_array(packer, suspects->count);
+	for (uint32_t i = 0; i < suspects->count; i++)
+		msgpack_pack_uint64(packer, suspects->tokens[i]);
+}
+
 static void put_items_request(msgpack_packer *packer,
 			      const struct cm_message *message)
 {
 	msgpack_pack_array(packer, CM_ITEMS_REQUEST_FIELDS);
 	msgpack_pack_uint64(packer, message->items_request.after);
+	put_suspects(packer, &message->items_request.suspects);
 }
 
 static void put_items(msgpack_packer *packer, const struct cm_message *message)
@@ -184,6 +193,7 @@
 		msgpack_pack_uint64(packer, item->revision);
 		msgpack_pack_uint64(packer, item->is_gone);
 	}
+	put_suspects(packer, &body->suspects);
 }
 
 typedef void put_body_function(msgpack_packer *packer,
--- a/src/adapters/message_read.c
+++ b/src/adapters/message_read.c
@@ -315,11 +315,22 @@
 		get_server(&list, &body->servers[i]);
 }
 
+static void get_suspects(struct reader *reader,
+			 struct cm_message_suspects *suspects)
+{
+	struct reader list = get_array(reader, CM_MESSAGE_SUSPECTS_MAX);
+
+	suspects->count = list.left;
+	for (uint32_t i = 0; i < suspects->count && !*reader->error; i++)
+		suspects->tokens[i] = (uint32_t)get_number(&list, UINT32_MAX);
+}
+
 static void get_items_request(struct reader *outer, struct cm_message *message)
 {
 	struct reader reader = get_struct(outer, CM_ITEMS_REQUEST_FIELDS);
 
 	message->items_request.after = get_number(&reader, UINT64_MAX);
+	get_suspects(&reader, &message->items_request.suspects);
 }
 
 static void get_item(struct reader *list, struct cm_message_item *item)
@@ -360,6 +371,7 @@
 		fail(&reader, error);
 	for (uint32_t i = 0; i < body->count && !*reader.error; i++)
 		get_item(&list, &body->items[i]);
+	get_suspects(&reader, &body->suspects);
 }
 
 typedef void get_body_function(struct reader *reader,
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -1,6 +1,12 @@
 #include "chervilmast/server_health.h"
 
 #define EIGHTHS 8
+/** Time for which another node's word holds, ms. */
+#define DOUBT_HOLDS_MS 2000
+/** Time for which an answer outweighs another node's word, ms. */
+#define ANSWER_HOLDS_MS 300
+/** Time for which a probe outweighs another node's word, ms. */
+#define REACH_HOLDS_MS 2000
 /** Longest time of a flow that is taken for work of the server, ms. */
 #define SERVICE_MAX_MS 10000
 
@@ -9,6 +15,7 @@
 	bool was_suspected = health->unanswered > 0;
 
 	health->unanswered = 0;
+	health->doubted_until_ms = 0;
 	health->probes = 0;
 	health->answered_ms = now_ms;
 	return was_suspected;
@@ -28,6 +35,16 @@
 	return health->unanswered == 1;
 }
 
+void cm_server_health_doubt(struct cm_server_health *health, uint64_t now_ms)
+{
+	if (health->unanswered ||
+	    now_ms < health->answered_ms + ANSWER_HOLDS_MS ||
+	    (health->reached_ms &&
+	     now_ms < health->reached_ms + REACH_HOLDS_MS))
+		return;
+	health->doubted_until_ms = now_ms + DOUBT_HOLDS_MS;
+}
+
 void cm_server_health_ended(struct cm_server_health *health, uint32_t took_ms,
 			    uint64_t now_ms)
 {
@@ -58,7 +75,7 @@
 bool cm_server_health_probe_is_due(const struct cm_server_health *health,
 				   uint64_t now_ms)
 {
-	if (!health->unanswered || health->is_reached)
+	if (cm_server_health_may_try(health, now_ms))
 		return false;
 	if (now_ms < health->rests_until_ms)
 		return false;
@@ -76,10 +93,14 @@
 {
 	health->reached_ms = now_ms;
 	health->is_reached = true;
+	health->doubted_until_ms = 0;
 }
 
-bool cm_server_health_may_try(const struct cm_server_health *health)
+bool cm_server_health_may_try(const struct cm_server_health *health,
+			      uint64_t now_ms)
 {
+	if (now_ms < health->doubted_until_ms)
+		return false;
 	return !health->unanswered || health->is_reached;
 }
 
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -273,7 +273,7 @@
 	if (!is_candidate(steer, server, outlook) ||
 	    server->token == choice->avoid_token)
 		return false;
-	if (!cm_server_health_may_try(&server->health))
+	if (!cm_server_health_may_try(&server->health, choice->now_ms))
 		return false;
 	if (!server->health.is_reached &&
 	    domain_is_in_doubt(outlook, server->domain_hash))
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -234,6 +234,39 @@
 	pthread_mutex_unlock(&steer->lock);
 }
 
+uint32_t cm_steer_suspects(struct cm_steer *steer, uint32_t *tokens,
+			   uint32_t most)
+{
+	const struct cm_steer_server *server;
+	uint32_t count = 0;
+
+	pthread_mutex_lock(&steer->lock);
+	TAILQ_FOREACH (server, &steer->servers.all, link) {
+		if (count == most || is_cut_off(steer))
+			break;
+		if (server->listing != CM_LEFT &&
+		    cm_server_health_is_suspected(&server->health) &&
+		    !server->health.is_reached)
+			tokens[count++] = server->token;
+	}
+	pthread_mutex_unlock(&steer->lock);
+	return count;
+}
+
+void cm_steer_doubt(struct cm_steer *steer, uint64_t now_ms,
+		    const uint32_t *tokens, uint32_t count)
+{
+	pthread_mutex_lock(&steer->lock);
+	for (uint32_t i = 0; i < count; i++) {
+		struct cm_steer_server *server =
+			cm_steer_servers_by_token(&steer->servers, tokens[i]);
+
+		if (server)
+			cm_server_health_doubt(&server->health, now_ms);
+	}
+	pthread_mutex_unlock(&steer->lock);
+}
+
 uint64_t cm_steer_idle_ms(struct cm_steer *steer, uint64_t now_ms)
 {
 	uint64_t idle_ms;
--- /dev/null
+++ b/src/core/suspect_list.c
@@ -0,0 +1,51 @@
+#include "chervilmast/suspect_list.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+
+static bool holds(const struct cm_suspect *suspect, uint64_t now_ms)
+{
+	return suspect->token &&
+	       now_ms < suspect->told_ms + CM_SUSPECT_HOLDS_MS;
+}
+
+/* The place of a token, or one that is free. */
+static struct cm_suspect *place_of(struct cm_suspect_list *list,
+				   uint64_t now_ms, uint32_t token)
+{
+	struct cm_suspect *free_place = NULL;
+
+	for (int i = 0; i < CM_SUSPECT_LIST_MAX; i++) {
+		struct cm_suspect *suspect = &list->items[i];
+
+		if (suspect->token == token)
+			return suspect;
+		if (!free_place && !holds(suspect, now_ms))
+			free_place = suspect;
+	}
+	return free_place;
+}
+
+void cm_suspect_list_add(struct cm_suspect_list *list, uint64_t now_ms,
+			 const uint32_t *tokens, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		struct cm_suspect *place = place_of(list, now_ms, tokens[i]);
+
+		if (!place)
+			return;
+		place->token = tokens[i];
+		place->told_ms = now_ms;
+	}
+}
+
+uint32_t cm_suspect_list_read(const struct cm_suspect_list *list,
+			      uint64_t now_ms, uint32_t *tokens)
+{
+	uint32_t count = 0;
+
+	for (int i = 0; i < CM_SUSPECT_LIST_MAX; i++)
+		if (holds(&list->items[i], now_ms))
+			tokens[count++] = list->items[i].token;
+	return count;
+}
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -20,6 +20,7 @@
 	cm_item_log_init(&feed->log);
 	cm_feed_source_init(&feed->source, age_max_ms);
 	feed->asked_ms = 0;
+	memset(&feed->suspects, 0, sizeof(feed->suspects));
 	feed->swept_ms = 0;
 }
 
@@ -144,6 +145,14 @@
 	return may_ask;
 }
 
+void cm_feed_request(struct cm_feed *feed,
+		     struct cm_message_items_request *request)
+{
+	request->after = cm_feed_revision(feed);
+	request->suspects.count = cm_steer_suspects(
+		feed->steer, request->suspects.tokens, CM_MESSAGE_SUSPECTS_MAX);
+}
+
 static void take_items(struct cm_feed *feed,
 		       const struct cm_message_items *items)
 {
@@ -184,6 +193,8 @@
 	if (!is_behind)
 		take_items(feed, items);
 	pthread_mutex_unlock(&feed->lock);
+	cm_steer_doubt(feed->steer, now_ms, items->suspects.tokens,
+		       items->suspects.count);
 }
 
 /**
@@ -234,10 +245,27 @@
 	return answer.error;
 }
 
-int cm_feed_answer(struct cm_feed *feed, uint64_t now_ms, uint64_t after,
+/* Adds what the other instance suspects, and tells what all suspect. */
+static void exchange_suspects(struct cm_feed *feed, uint64_t now_ms,
+			      const struct cm_message_suspects *theirs,
+			      struct cm_message_suspects *all)
+{
+	uint32_t own[CM_SUSPECT_LIST_MAX];
+	uint32_t count =
+		cm_steer_suspects(feed->steer, own, CM_SUSPECT_LIST_MAX);
+
+	cm_suspect_list_add(&feed->suspects, now_ms, own, count);
+	cm_suspect_list_add(&feed->suspects, now_ms, theirs->tokens,
+			    theirs->count);
+	all->count = cm_suspect_list_read(&feed->suspects, now_ms, all->tokens);
+}
+
+int cm_feed_answer(struct cm_feed *feed, uint64_t now_ms,
+		   const struct cm_message_items_request *request,
 		   struct cm_message_items *items)
 {
 	uint64_t heard_ms = cm_steer_heard_ms(feed->steer);
+	uint64_t after = request->after;
 	int error = CM_OK;
 
 	pthread_mutex_lock(&feed->lock);
@@ -248,6 +276,9 @@
 	if (items->revision > after)
 		error = copy_items(&feed->log, items->is_all ? 0 : after,
 				   items);
+	exchange_suspects(feed, now_ms, &request->suspects, &items->suspects);
 	pthread_mutex_unlock(&feed->lock);
+	cm_steer_doubt(feed->steer, now_ms, request->suspects.tokens,
+		       request->suspects.count);
 	return error;
 }
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -13,6 +13,7 @@
 #include "chervilmast/feed_source.h"
 #include "chervilmast/message.h"
 #include "chervilmast/steer.h"
+#include "chervilmast/suspect_list.h"
 #include "ports/registry.h"
 
 /**
@@ -23,6 +24,7 @@
  * @log: copy of the registry
  * @source: what was made of the instance that is asked
  * @asked_ms: when the source was asked last; 0 when it has answered since
+ * @suspects: servers that instances of the failure domain suspect
  * @swept_ms: when the copy was last swept
  */
 struct cm_feed {
@@ -32,6 +34,7 @@
 	struct cm_item_log log;
 	struct cm_feed_source source;
 	uint64_t asked_ms;
+	struct cm_suspect_list suspects;
 	uint64_t swept_ms;
 };
 
@@ -86,6 +89,14 @@
 bool cm_feed_source(struct cm_feed *feed, const char *self, uint64_t now_ms,
 		    struct cm_peer_entry *source);
 
+/**
+ * cm_feed_request() - what to ask the source
+ * @feed: the feed
+ * @request: set
+ */
+void cm_feed_request(struct cm_feed *feed,
+		     struct cm_message_items_request *request);
+
 /**
  * cm_feed_take() - take what another instance answered
  * @feed: the feed
@@ -99,12 +110,13 @@
  * cm_feed_answer() - answer another instance
  * @feed: the feed
  * @now_ms: current time
- * @after: revision up to which it knows the registry
+ * @request: what it asked
  * @items: an empty array; set
  *
  * Return: 0, CM_E_MEMORY or CM_E_TOO_LARGE.
  */
-int cm_feed_answer(struct cm_feed *feed, uint64_t now_ms, uint64_t after,
+int cm_feed_answer(struct cm_feed *feed, uint64_t now_ms,
+		   const struct cm_message_items_request *request,
 		   struct cm_message_items *items);
 
 #endif
--- a/src/daemon/peer_loop.c
+++ b/src/daemon/peer_loop.c
@@ -28,7 +28,7 @@
 		return false;
 	cm_message_init(answer, CM_MESSAGE_ITEMS);
 	sign(loop, answer);
-	if (!cm_feed_answer(loop->feed, now_ms, message->items_request.after,
+	if (!cm_feed_answer(loop->feed, now_ms, &message->items_request,
 			    &answer->items))
 		return true;
 	cm_message_finish(answer);
@@ -73,7 +73,7 @@
 
 	cm_message_init(&message, CM_MESSAGE_ITEMS_REQUEST);
 	sign(loop, &message);
-	message.items_request.after = cm_feed_revision(loop->feed);
+	cm_feed_request(loop->feed, &message.items_request);
 	error = peers->ops->send(peers, to, &message);
 	cm_message_finish(&message);
 	return error;
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -5,6 +5,7 @@
 
 #include "chervilmast/feed_source.h"
 #include "chervilmast/item_log.h"
+#include "chervilmast/suspect_list.h"
 
 #define NOW_MS 100000
 #define AGE_MAX_MS 2400
@@ -185,3 +186,24 @@
 	ck_assert(!cm_feed_source_is_passed(
 		&feed, "a", NOW_MS + CM_FEED_PATIENCE_MS + CM_FEED_RETRY_MS));
 }
+
+TEST(suspicion_that_is_not_repeated_is_forgotten)
+{
+	static struct cm_suspect_list list;
+	uint32_t tokens[CM_SUSPECT_LIST_MAX];
+	uint32_t many[CM_SUSPECT_LIST_MAX + 10];
+
+	cm_suspect_list_add(&list, NOW_MS, (uint32_t[]){ 7, 8, 7 }, 3);
+	ck_assert_uint_eq(cm_suspect_list_read(&list, NOW_MS, tokens), 2);
+	cm_suspect_list_add(&list, NOW_MS + 1000, (uint32_t[]){ 8 }, 1);
+	ck_assert_uint_eq(cm_suspect_list_read(
+				  &list, NOW_MS + CM_SUSPECT_HOLDS_MS, tokens),
+			  1);
+	ck_assert_uint_eq(tokens[0], 8);
+	for (uint32_t i = 0; i < CM_SUSPECT_LIST_MAX + 10; i++)
+		many[i] = 100 + i;
+	cm_suspect_list_add(&list, NOW_MS + 2000, many,
+			    CM_SUSPECT_LIST_MAX + 10);
+	ck_assert_uint_eq(cm_suspect_list_read(&list, NOW_MS + 2000, tokens),
+			  CM_SUSPECT_LIST_MAX);
+}
--- a/tests/unit/test_steer_outage.c
+++ b/tests/unit/test_steer_outage.c
@@ -256,3 +256,38 @@
 		remote += steering_syn(port, 0).server_id > 100;
 	ck_assert_uint_ge(remote, 2);
 }
+
+/* Another node's word: a probe first, and no flow until it reached the server.
+ */
+TEST(server_that_others_suspect_is_probed_first)
+{
+	uint32_t token = cm_steer_token(1, 0);
+	struct cm_endpoint address;
+
+	steering_ready(2);
+	cm_steer_doubt(&steering, steering_ms, &token, 1);
+	for (uint16_t port = 1; port <= 4; port++)
+		ck_assert_uint_ne(steering_syn(port, 0).server_id, 1);
+	ck_assert_uint_eq(cm_steer_next_probe(&steering, steering_ms, &address),
+			  token);
+	cm_steer_reached(&steering, steering_ms, token);
+	ck_assert_uint_eq(steering_syn(9, 0).server_id, 1);
+	/* What the node saw itself weighs more for a while. */
+	cm_steer_doubt(&steering, steering_ms, &token, 1);
+	ck_assert_uint_eq(cm_steer_next_probe(&steering, steering_ms, &address),
+			  0);
+}
+
+TEST(suspects_are_told_by_those_who_saw)
+{
+	uint32_t tokens[4], token = cm_steer_token(2, 0);
+	struct cm_steer_verdict verdict;
+
+	steering_ready(2);
+	cm_steer_doubt(&steering, steering_ms, &token, 1);
+	ck_assert_uint_eq(cm_steer_suspects(&steering, tokens, 4), 0);
+	verdict = steering_syn(1, 0);
+	steering_pass(100);
+	ck_assert_uint_eq(cm_steer_suspects(&steering, tokens, 4), 1);
+	ck_assert_uint_eq(tokens[0], verdict.token);
+}
