--- /dev/null
+++ b/src/adapters/message_items.c
@@ -0,0 +1,69 @@
+#include <string.h>
+
+#include "chervilmast/error.h"
+#include "message_internal.h"
+#include "message_reader.h"
+
+static void get_suspects(struct cm_reader *reader,
+			 struct cm_message_suspects *suspects)
+{
+	struct cm_reader list =
+		cm_reader_array(reader, CM_MESSAGE_SUSPECTS_MAX);
+
+	suspects->count = list.left;
+	for (uint32_t i = 0; i < suspects->count && !*reader->error; i++)
+		suspects->tokens[i] =
+			(uint32_t)cm_reader_number(&list, UINT32_MAX);
+}
+
+void cm_message_read_items_request(struct cm_reader *outer,
+				   struct cm_message *message)
+{
+	struct cm_reader reader =
+		cm_reader_struct(outer, CM_ITEMS_REQUEST_FIELDS);
+
+	message->items_request.after = cm_reader_number(&reader, UINT64_MAX);
+	get_suspects(&reader, &message->items_request.suspects);
+}
+
+static void get_item(struct cm_reader *list, struct cm_message_item *item)
+{
+	struct cm_reader reader = cm_reader_struct(list, CM_ITEM_FIELDS);
+	const msgpack_object *key = cm_reader_next(&reader, MSGPACK_OBJECT_BIN);
+	const msgpack_object *value =
+		cm_reader_next(&reader, MSGPACK_OBJECT_BIN);
+	int error;
+
+	item->revision = cm_reader_number(&reader, UINT64_MAX);
+	item->is_gone = cm_reader_number(&reader, 1);
+	if (*reader.error)
+		return;
+	error = cm_message_item_set(item, key->via.bin.ptr, key->via.bin.size,
+				    item->is_gone ? NULL : value->via.bin.ptr,
+				    value->via.bin.size);
+	if (error)
+		cm_reader_fail(&reader, error);
+	else if (strlen(item->key) != key->via.bin.size)
+		cm_reader_fail(&reader, CM_E_BAD_NAME);
+}
+
+void cm_message_read_items(struct cm_reader *outer, struct cm_message *message)
+{
+	struct cm_message_items *body = &message->items;
+	struct cm_reader reader = cm_reader_struct(outer, CM_ITEMS_FIELDS);
+	struct cm_reader list;
+	int error;
+
+	body->revision = cm_reader_number(&reader, UINT64_MAX);
+	body->age_ms = cm_reader_number(&reader, UINT64_MAX);
+	body->is_all = cm_reader_number(&reader, 1);
+	list = cm_reader_array(&reader, CM_MESSAGE_ITEMS_MAX);
+	if (*reader.error)
+		return;
+	error = cm_message_items_reserve(body, list.left);
+	if (error)
+		cm_reader_fail(&reader, error);
+	for (uint32_t i = 0; i < body->count && !*reader.error; i++)
+		get_item(&list, &body->items[i]);
+	get_suspects(&reader, &body->suspects);
+}
--- /dev/null
+++ b/src/adapters/message_reader.c
@@ -0,0 +1,87 @@
+#include "message_reader.h"
+
+#include <string.h>
+
+#include "chervilmast/error.h"
+
+void cm_reader_fail(struct cm_reader *reader, int error)
+{
+	if (!*reader->error)
+		*reader->error = error;
+}
+
+/* The next item when it has the type; NULL after any error. */
+const msgpack_object *cm_reader_next(struct cm_reader *reader,
+				     msgpack_object_type type)
+{
+	const msgpack_object *item = reader->at;
+
+	if (!reader->left)
+		cm_reader_fail(reader, CM_E_TRUNCATED);
+	else if (item->type != type)
+		cm_reader_fail(reader, CM_E_WRONG_TYPE);
+	if (*reader->error)
+		return NULL;
+	reader->at++;
+	reader->left--;
+	return item;
+}
+
+uint64_t cm_reader_number(struct cm_reader *reader, uint64_t maximum)
+{
+	const msgpack_object *item =
+		cm_reader_next(reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	if (!item)
+		return 0;
+	if (item->via.u64 > maximum) {
+		cm_reader_fail(reader, CM_E_OUT_OF_RANGE);
+		return 0;
+	}
+	return item->via.u64;
+}
+
+void cm_reader_text(struct cm_reader *reader, char *text)
+{
+	const msgpack_object *item = cm_reader_next(reader, MSGPACK_OBJECT_STR);
+
+	if (!item)
+		return;
+	if (item->via.str.size >= CM_NAME_SIZE) {
+		cm_reader_fail(reader, CM_E_TOO_LARGE);
+		return;
+	}
+	/* An empty string may come without a place. */
+	if (item->via.str.size)
+		memcpy(text, item->via.str.ptr, item->via.str.size);
+	text[item->via.str.size] = '\0';
+	if (strlen(text) != item->via.str.size)
+		cm_reader_fail(reader, CM_E_BAD_NAME);
+}
+
+/* A reader of the next item, an array of up to @maximum items. */
+struct cm_reader cm_reader_array(struct cm_reader *reader, uint32_t maximum)
+{
+	const msgpack_object *item =
+		cm_reader_next(reader, MSGPACK_OBJECT_ARRAY);
+	struct cm_reader inner = { .error = reader->error };
+
+	if (!item)
+		return inner;
+	if (item->via.array.size > maximum) {
+		cm_reader_fail(reader, CM_E_TOO_LARGE);
+		return inner;
+	}
+	inner.at = item->via.array.ptr;
+	inner.left = item->via.array.size;
+	return inner;
+}
+
+struct cm_reader cm_reader_struct(struct cm_reader *reader, uint32_t fields)
+{
+	struct cm_reader inner = cm_reader_array(reader, fields);
+
+	if (inner.left < fields)
+		cm_reader_fail(reader, CM_E_TRUNCATED);
+	return inner;
+}
--- /dev/null
+++ b/tests/scripts/cases/steer_settings.sh
@@ -0,0 +1,54 @@
+# Settings of `chervilmast steer` that are refused, each with one line that names
+# the key.
+dir=$1/cases/steer_settings
+mkdir -p "$dir"
+cd "$dir" || exit 1
+PATH=$(cd - >/dev/null && pwd)/$1:$PATH
+
+cat >good.json <<'END'
+{
+	"name": "a-1",
+	"failure_domain": "a",
+	"packets": "127.0.0.1:18172",
+	"ready": "127.0.0.1:18167",
+	"metrics": "127.0.0.1:19100",
+	"control": "127.0.0.1:18166",
+	"seeds": ["127.0.0.2:18166"],
+	"store_url": "http://127.0.0.1:1",
+	"server_leave_ms": 3000,
+	"domain_out_ms": 5000,
+	"plan_ms": 3000,
+	"flow_life_s": 60,
+	"stop_timeout_s": 6
+}
+END
+
+try() { # what sed-expression
+	echo "# $1"
+	sed "$2" good.json >settings.json
+	chervilmast steer --settings settings.json >out 2>&1
+	code=$?
+	cat out
+	echo "exit $code"
+}
+
+try 'no name' '/"name"/d'
+try 'name of another type' 's/"a-1"/7/'
+try 'no address' 's/"127.0.0.1:18172"/"here"/'
+try 'port out of range' 's/18167/70000/'
+try 'address of another type' 's/"127.0.0.1:19100"/{}/'
+try 'seeds that are no list' 's/\["127.0.0.2:18166"\]/"x"/'
+try 'seed that is no address' 's/127.0.0.2:18166/x/'
+try 'seed of another type' 's/"127.0.0.2:18166"/1/'
+try 'bound that is too short' 's/"plan_ms": 3000/"plan_ms": 5/'
+try 'no bound' '/"domain_out_ms"/d'
+try 'store of another scheme' 's/http:/https:/'
+try 'unknown key' 's/"flow_life_s"/"flow_life"/'
+try 'unknown log level' 's/"a-1",/"a-1", "log_level": "loud",/'
+try 'no JSON' 's/{/[/'
+echo '# no file'
+chervilmast steer --settings none.json 2>&1
+echo "exit $?"
+echo '# empty option'
+chervilmast steer --settings '' 2>&1
+echo "exit $?"
