Judge no server by packets that waited through a pause of the node

Packets that waited in the socket were placed as if they had just come: their callers had given up, so no answer was acknowledged, and after 80 ms 14 servers were suspected, the instance took itself for cut off, was not ready and told its failure domain. Besides, the clock of judging was advanced by ticks only: the SYNs read after a pause were charged with up to 60 ms of it.

Ruled out: servers (all answered others), the clock (CLOCK_BOOTTIME already).

Change: a packet says for how long it may have waited to be read (since the socket was last seen empty). One that may have waited as long as a caller's attempt lasts after its last repetition is sent on, but not judged, and counts as open once its caller acknowledges an answer. The clock of judging advances with packets too.

The test paused 1 s. It now pauses 1 s and 1,399 ms (a caller's attempt lasts 1.4 s, and its repeated SYN must keep its server) and 5 s (nothing may be judged).

--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -44,6 +44,7 @@
  * @flags: CM_STEER_SYN and others
  * @repeats: SYNs of this flow that were sent before
  * @length: bytes of data
+ * @waited_ms: longest time for which it may have waited to be read
  */
 struct cm_steer_packet {
 	struct cm_flow_key key;
@@ -51,6 +52,7 @@
 	uint8_t flags;
 	uint32_t repeats;
 	uint32_t length;
+	uint32_t waited_ms;
 };
 
 /**
@@ -134,7 +136,7 @@
  * @returned_ms: when it was last heard of again after an outage
  * @is_away: the registry can't be reached
  * @is_leaving: the node is in graceful shutdown
- * @ticked_ms: time of the last tick
+ * @told_ms: latest time that the node was given
  * @active_ms: clock that stands while the node is paused
  * @choices: choices so far
  * @last_flow_ms: when a packet was last sent on
@@ -159,7 +161,7 @@
 	uint64_t returned_ms;
 	bool is_away;
 	bool is_leaving;
-	uint64_t ticked_ms;
+	uint64_t told_ms;
 	uint64_t active_ms;
 	uint64_t choices;
 	uint64_t last_flow_ms;
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -7,6 +7,8 @@
 
 /** Number of SYNs of a flow before the last one. */
 #define LAST_REPEAT 2
+/** Time between the last repeated SYN and the end of a caller's attempt, ms. */
+#define REPEAT_HOLDS_MS 800
 
 void cm_steer_init(struct cm_steer *steer, const struct cm_steer_config *config)
 {
@@ -67,20 +69,32 @@
 	steer->last_flow_ms = now_ms;
 }
 
+/* Its caller may have given up before it was read. */
+static bool may_be_over(const struct cm_steer_packet *packet)
+{
+	return packet->waited_ms >= REPEAT_HOLDS_MS;
+}
+
+/* A flow that may be over counts once its caller acknowledges an answer. */
 static void remember_flow(struct cm_steer *steer, uint64_t now_ms,
-			  const struct cm_flow_key *key,
+			  const struct cm_steer_packet *packet,
 			  struct cm_steer_server *server)
 {
+	struct cm_steer_flow *flow;
+
 	if (cm_steer_flows_is_full(&steer->flows)) {
 		cm_counters_add(&steer->counters, CM_C_STEER_FLOW_FORGOTTEN);
 		cm_steer_forget_flow(steer,
 				     cm_steer_flows_oldest(&steer->flows));
 	}
-	if (cm_steer_flows_add(&steer->flows, key, server->token, now_ms,
-			       steer->active_ms))
-		server->open++;
-	else
+	flow = cm_steer_flows_add(&steer->flows, &packet->key, server->token,
+				  now_ms, steer->active_ms);
+	if (!flow)
 		cm_counters_add(&steer->counters, CM_C_DROP_MEMORY);
+	else if (may_be_over(packet))
+		cm_steer_flows_settle(&steer->flows, flow, false);
+	else
+		server->open++;
 }
 
 /*
@@ -99,7 +113,8 @@
 
 /* A repeated SYN goes to its server again unless that one seems silent. */
 static bool repeat_syn(struct cm_steer *steer, uint64_t now_ms,
-		       const struct cm_steer_flow *flow, uint32_t repeats,
+		       const struct cm_steer_flow *flow,
+		       const struct cm_steer_packet *packet,
 		       struct cm_steer_verdict *verdict)
 {
 	const struct cm_steer_server *server =
@@ -107,7 +122,8 @@
 
 	if (!server || server->listing == CM_LEFT)
 		return false;
-	if (!flow->is_open && !may_answer(steer, flow, server, repeats))
+	if (!flow->is_open && !may_be_over(packet) &&
+	    !may_answer(steer, flow, server, packet->repeats))
 		return false;
 	send_to(steer, now_ms, server, CM_C_STEER_SYN_REPEATED, verdict);
 	return true;
@@ -149,7 +165,7 @@
 		return;
 	}
 	cm_steer_chosen(steer, server, now_ms);
-	remember_flow(steer, now_ms, &packet->key, server);
+	remember_flow(steer, now_ms, packet, server);
 	send_to(steer, now_ms, server,
 		avoid_token ? CM_C_STEER_PLACED_AGAIN : CM_C_STEER_PLACED,
 		verdict);
@@ -170,7 +186,7 @@
 		return;
 	}
 	if (flow && packet->repeats &&
-	    repeat_syn(steer, now_ms, flow, packet->repeats, verdict))
+	    repeat_syn(steer, now_ms, flow, packet, verdict))
 		return;
 	if (flow && packet->repeats && !flow->is_open) {
 		avoid_token = flow->token;
@@ -267,6 +283,7 @@
 {
 	memset(verdict, 0, sizeof(*verdict));
 	pthread_mutex_lock(&steer->lock);
+	cm_steer_advance_clock(steer, now_ms);
 	verdict->plan_version = steer->plan.version;
 	verdict->plan_age_ms =
 		now_ms > steer->heard_ms ? now_ms - steer->heard_ms : 0;
--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -54,6 +54,13 @@
  */
 void cm_steer_forget_flow(struct cm_steer *steer, struct cm_steer_flow *flow);
 
+/**
+ * cm_steer_advance_clock() - let the time pass that the node was at work
+ * @steer: the node; its lock is held
+ * @now_ms: current time
+ */
+void cm_steer_advance_clock(struct cm_steer *steer, uint64_t now_ms);
+
 /**
  * cm_steer_is_overdue() - whether a SYN should have been answered by now
  * @steer: the node; its lock is held
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -21,7 +21,7 @@
 	struct cm_steer_change change = {
 		.kind = kind,
 		.silent_syns = steer->silent_syns,
-		.at_ms = steer->ticked_ms,
+		.at_ms = steer->told_ms,
 	};
 
 	if (key)
@@ -76,14 +76,14 @@
 	cm_steer_note_change(steer, CM_CHANGE_SUSPECTED, NULL, server);
 }
 
-static void advance_clock(struct cm_steer *steer, uint64_t now_ms)
+void cm_steer_advance_clock(struct cm_steer *steer, uint64_t now_ms)
 {
-	uint64_t step_ms = steer->ticked_ms ? now_ms - steer->ticked_ms : 0;
+	uint64_t step_ms = steer->told_ms ? now_ms - steer->told_ms : 0;
 
-	if (now_ms < steer->ticked_ms)
+	if (now_ms < steer->told_ms)
 		step_ms = 0;
 	steer->active_ms += step_ms < ACTIVE_STEP_MS ? step_ms : ACTIVE_STEP_MS;
-	steer->ticked_ms = now_ms;
+	steer->told_ms = now_ms;
 }
 
 static void judge_opening(struct cm_steer *steer)
@@ -210,7 +210,7 @@
 void cm_steer_tick(struct cm_steer *steer, uint64_t now_ms)
 {
 	pthread_mutex_lock(&steer->lock);
-	advance_clock(steer, now_ms);
+	cm_steer_advance_clock(steer, now_ms);
 	judge_opening(steer);
 	forget_idle(steer, now_ms);
 	cm_steer_forget_lapsed_peers(steer, now_ms);
--- a/src/daemon/steer_loop.c
+++ b/src/daemon/steer_loop.c
@@ -19,6 +19,7 @@
 	loop->fabric = fabric;
 	loop->caller_port = address->port;
 	loop->ticked_ms = cm_clock_ms();
+	loop->emptied_ms = loop->ticked_ms;
 	for (int i = 0; i < CM_STEER_PROBES; i++)
 		cm_reach_probe_init(&loop->probes[i]);
 	return cm_udp_batch_init(&loop->batch, address);
@@ -98,6 +99,7 @@
 							  CM_C_DROP_MALFORMED);
 		return;
 	}
+	packet.waited_ms = (uint32_t)(now_ms - loop->emptied_ms);
 	cm_steer_packet(loop->steer, now_ms, &packet, &verdict);
 	if (verdict.kind == CM_STEER_FORWARD)
 		forward(loop, datagram, &verdict);
@@ -135,7 +137,9 @@
 	if (refused)
 		cm_counters_add_many(&loop->steer->counters, CM_C_DROP_SEND,
 				     refused);
-	if (loop->batch.count < CM_UDP_BATCH)
+	if (loop->batch.count < CM_UDP_BATCH) {
+		loop->emptied_ms = now_ms;
 		tick(loop, now_ms);
+	}
 	return CM_OK;
 }
--- a/src/daemon/steer_loop.h
+++ b/src/daemon/steer_loop.h
@@ -23,6 +23,7 @@
  * @batch: the socket
  * @resets: room for the resets of a batch
  * @ticked_ms: when the node was last ticked
+ * @emptied_ms: when the last packet that waited had been read
  * @probes: probes of servers that did not answer
  */
 struct cm_steer_loop {
@@ -32,6 +33,7 @@
 	struct cm_udp_batch batch;
 	uint8_t resets[CM_UDP_BATCH][CM_FABRIC_RESET_MAX];
 	uint64_t ticked_ms;
+	uint64_t emptied_ms;
 	struct cm_reach_probe probes[CM_STEER_PROBES];
 };
 
--- a/tests/unit/steering.c
+++ b/tests/unit/steering.c
@@ -112,6 +112,17 @@
 	return give(&packet);
 }
 
+struct cm_steer_verdict steering_late_syn(uint16_t port, uint32_t repeats,
+					  uint32_t waited_ms)
+{
+	struct cm_steer_packet packet = packet_of(port);
+
+	packet.flags = CM_STEER_SYN;
+	packet.repeats = repeats;
+	packet.waited_ms = waited_ms;
+	return give(&packet);
+}
+
 struct cm_steer_verdict steering_packet(uint16_t port, uint32_t token,
 					uint8_t flags)
 {
--- a/tests/unit/steering.h
+++ b/tests/unit/steering.h
@@ -46,6 +46,10 @@
 /** steering_syn() - give a SYN of the caller at @port; @repeats came before */
 struct cm_steer_verdict steering_syn(uint16_t port, uint32_t repeats);
 
+/** steering_late_syn() - the same, of a SYN that may have waited @waited_ms */
+struct cm_steer_verdict steering_late_syn(uint16_t port, uint32_t repeats,
+					  uint32_t waited_ms);
+
 /** steering_packet() - give a later packet of the caller at @port */
 struct cm_steer_verdict steering_packet(uint16_t port, uint32_t token,
 					uint8_t flags);
--- a/tests/unit/test_steer.c
+++ b/tests/unit/test_steer.c
@@ -135,20 +135,6 @@
 	ck_assert_uint_ne(again.server_id, first.server_id);
 }
 
-/* A node that stood still says nothing of the servers. */
-TEST(pause_makes_no_server_suspected)
-{
-	struct cm_steer_verdict first, again;
-
-	steering_ready(3);
-	first = steering_syn(1, 0);
-	steering_ms += 1000;
-	cm_steer_tick(&steering, steering_ms);
-	ck_assert_uint_eq(steering_count(CM_C_STEER_SYN_UNANSWERED), 0);
-	again = steering_syn(1, 1);
-	ck_assert_uint_eq(again.server_id, first.server_id);
-}
-
 TEST(reused_port_is_a_new_flow)
 {
 	struct cm_steer_verdict first;
--- /dev/null
+++ b/tests/unit/test_steer_pause.c
@@ -0,0 +1,100 @@
+#include "unit/suites.h"
+
+#include "unit/steering.h"
+
+/** Time from the first SYN to the end of a caller's attempt, ms. */
+#define CALLER_ATTEMPT_MS 1400
+/** Time within which a SYN is answered, ms. */
+#define ANSWER_TIME_MS 80
+
+UNIT_CASE("steer", "pauses of the node", steering_setup, steering_teardown,
+	  UNIT_TIMEOUT_S);
+
+static uint32_t open_flows(uint32_t token)
+{
+	return cm_steer_servers_by_token(&steering.servers, token)->open;
+}
+
+/* A node that stood still says nothing of the servers. */
+TEST(pause_makes_no_server_suspected)
+{
+	static const uint64_t pauses_ms[] = { 1000, CALLER_ATTEMPT_MS - 1 };
+	struct cm_steer_verdict first, again;
+
+	steering_ready(3);
+	for (uint16_t i = 0; i < 2; i++) {
+		first = steering_syn(i, 0);
+		steering_ms += pauses_ms[i];
+		cm_steer_tick(&steering, steering_ms);
+		again = steering_syn(i, 1);
+		ck_assert_uint_eq(again.server_id, first.server_id);
+		steering_packet(i, first.token, CM_STEER_ACK);
+	}
+	steering_syn(2, 0);
+	steering_ms += 5000;
+	cm_steer_tick(&steering, steering_ms);
+	ck_assert_uint_eq(steering_count(CM_C_STEER_SYN_UNANSWERED), 0);
+}
+
+/* The time of a pause must not count for what is sent after it. */
+TEST(syn_after_a_pause_has_its_whole_time)
+{
+	steering_ready(3);
+	steering_ms += 5000;
+	steering_syn(1, 0);
+	cm_steer_tick(&steering, steering_ms);
+	steering_pass(ANSWER_TIME_MS - 1);
+	ck_assert_uint_eq(steering_count(CM_C_STEER_SYN_UNANSWERED), 0);
+	steering_pass(1);
+	ck_assert_uint_eq(steering_count(CM_C_STEER_SYN_UNANSWERED), 1);
+}
+
+/* Callers of packets that waited for long may have given up: their silence says
+ * nothing of the servers. */
+TEST(packets_that_waited_make_no_server_suspected)
+{
+	struct cm_steer_verdict first[10], again;
+
+	steering_ready(3);
+	steering_ms += 5000;
+	for (uint16_t i = 0; i < 10; i++) {
+		first[i] = steering_late_syn(i, 0, 5000);
+		ck_assert_int_eq(first[i].kind, CM_STEER_FORWARD);
+	}
+	for (uint16_t i = 0; i < 10; i++) {
+		again = steering_late_syn(i, 1, 5000);
+		ck_assert_uint_eq(again.server_id, first[i].server_id);
+	}
+	steering_pass(1000);
+	ck_assert_uint_eq(steering_count(CM_C_STEER_SYN_UNANSWERED), 0);
+	ck_assert_uint_eq(steering_count(CM_C_STEER_SUSPECTED), 0);
+	ck_assert(cm_steer_is_ready(&steering, steering_ms));
+}
+
+/* One whose caller is there after all is a flow like any other. */
+TEST(packet_that_waited_opens_a_flow)
+{
+	struct cm_steer_verdict first;
+
+	steering_ready(1);
+	steering_ms += 5000;
+	first = steering_late_syn(1, 0, 5000);
+	ck_assert_uint_eq(open_flows(first.token), 0);
+	steering_packet(1, first.token, CM_STEER_ACK);
+	ck_assert_uint_eq(open_flows(first.token), 1);
+	steering_packet(1, first.token, CM_STEER_ACK | CM_STEER_FIN);
+	ck_assert_uint_eq(open_flows(first.token), 0);
+}
+
+/* Its server had no time to answer while it waited, and has none left. */
+TEST(syn_that_comes_again_leaves_the_server_of_one_that_waited)
+{
+	struct cm_steer_verdict first, again;
+
+	steering_ready(3);
+	steering_ms += 5000;
+	first = steering_late_syn(1, 0, 5000);
+	steering_pass(200);
+	again = steering_syn(1, 1);
+	ck_assert_uint_ne(again.server_id, first.server_id);
+}
