Take an instance for ready only once it reached a server

Change: an instance is not ready until a probe reached a server or one answered a flow. Probes of an instance that is cut off are 200 ms apart in place of 400.

Tests, failing before: a node with plan and servers that reached none is not ready; a reached one or an answered flow make it so.

--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -140,6 +140,7 @@
  * @active_ms: clock that stands while the node is paused
  * @choices: choices so far
  * @last_flow_ms: when a packet was last sent on
+ * @has_reached: a server answered or was reached since the start
  * @silent_syns: SYNs in a row, to any server, that got no answer
  * @probed_ms: when the last probe began
  * @was_ready: whether the node was ready at the last tick
@@ -165,6 +166,7 @@
 	uint64_t active_ms;
 	uint64_t choices;
 	uint64_t last_flow_ms;
+	bool has_reached;
 	uint32_t silent_syns;
 	uint64_t probed_ms;
 	bool was_ready;
@@ -325,6 +327,9 @@
  * @steer: the node
  * @now_ms: current time
  *
+ * A node is not ready until it has reached a server: one that a probe of
+ * cm_steer_next_probe() reached, or one that answered a flow.
+ *
  * Return: true when it should.
  */
 bool cm_steer_is_ready(struct cm_steer *steer, uint64_t now_ms);
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -211,6 +211,7 @@
 	cm_histograms_add(&steer->histograms, CM_H_SYN_ANSWER,
 			  now_ms - flow->syn_ms);
 	steer->silent_syns = 0;
+	steer->has_reached = true;
 	if (!cm_server_health_answered(&server->health, now_ms))
 		return;
 	cm_counters_add(&steer->counters, CM_C_STEER_CLEARED);
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -11,7 +11,7 @@
 /** SYNs in a row without any answer by which the node is cut off. */
 #define CUT_OFF_SYNS 4
 /** Time between probes while the node is cut off, ms. */
-#define CUT_OFF_PROBE_MS 400
+#define CUT_OFF_PROBE_MS 200
 
 void cm_steer_note_change(struct cm_steer *steer,
 			  enum cm_steer_change_kind kind,
@@ -113,9 +113,10 @@
 	pthread_mutex_unlock(&steer->lock);
 }
 
+/* A node that has just started is, until it reached a server. */
 static bool is_cut_off(const struct cm_steer *steer)
 {
-	return steer->silent_syns >= CUT_OFF_SYNS;
+	return !steer->has_reached || steer->silent_syns >= CUT_OFF_SYNS;
 }
 
 static struct cm_steer_server *next_to_try(struct cm_steer *steer,
@@ -175,6 +176,7 @@
 	pthread_mutex_lock(&steer->lock);
 	server = cm_steer_servers_by_token(&steer->servers, token);
 	steer->silent_syns = 0;
+	steer->has_reached = true;
 	if (server)
 		cm_server_health_reached(&server->health, now_ms);
 	pthread_mutex_unlock(&steer->lock);
--- a/tests/unit/steering.c
+++ b/tests/unit/steering.c
@@ -83,6 +83,7 @@
 		steering_add(SECOND_DOMAIN_ID + i, "b");
 	}
 	cm_steer_heard(&steering, steering_ms);
+	cm_steer_reached(&steering, steering_ms, 0);
 }
 
 static struct cm_steer_verdict give(const struct cm_steer_packet *packet)
--- a/tests/unit/test_steer_outage.c
+++ b/tests/unit/test_steer_outage.c
@@ -118,6 +118,34 @@
 				   &source));
 }
 
+/* A node that starts in a domain that is cut off must draw no callers there. */
+TEST(node_that_reached_no_server_is_not_ready)
+{
+	struct cm_endpoint address;
+	uint32_t token;
+
+	steering_plan(1, 0);
+	steering_add(1, "a");
+	steering_pass(1000);
+	ck_assert(!cm_steer_is_ready(&steering, steering_ms));
+	token = cm_steer_next_probe(&steering, steering_ms, &address);
+	ck_assert_uint_eq(token, cm_steer_token(1, 0));
+	cm_steer_reached(&steering, steering_ms, token);
+	ck_assert(cm_steer_is_ready(&steering, steering_ms));
+}
+
+TEST(node_that_a_server_answered_is_ready)
+{
+	struct cm_steer_verdict verdict;
+
+	steering_plan(1, 0);
+	steering_add(1, "a");
+	verdict = steering_syn(1, 0);
+	ck_assert(!cm_steer_is_ready(&steering, steering_ms));
+	steering_packet(1, verdict.token, CM_STEER_ACK);
+	ck_assert(cm_steer_is_ready(&steering, steering_ms));
+}
+
 /* Four SYNs without any answer: the fabric has to go elsewhere. */
 TEST(node_that_no_server_answers_is_not_ready)
 {
