Let each instance begin with other servers, and new servers join at odd places

Cause: among equally cheap servers the one not chosen for longest is taken, and a server that was never chosen came first, in the order of the list. So all instances that start together (final fault) gave their first flows to the same servers, and all gave their next flow at once to a server that appeared: 26 to 78 flows for 2 slots and a queue of 8, hence 503.

Ruled out: the cost by load (each node sees a hundredth of the flows, most servers have none of its own and tie).

Change: a seed of the node's own (hash of its name) puts the servers into an order of its own at the start; a server that appears later joins at a place among the last choices that differs from node to node.

Tests, failing before: 20 nodes began with 1 server of 40, now with 10 or more; 20 of 20 nodes gave their next flow to a new server, now 6 at most; the new one still gets its part.

--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -93,6 +93,7 @@
 /**
  * struct cm_steer_config - settings of a node
  * @domain: its own failure domain
+ * @seed: a number that other nodes have not: they choose in another order
  * @flows_max: most flows that it remembers
  * @flow_life_ms: longest life of a flow, ms
  * @domain_out_ms: time in which packets may still be sent to a failure domain
@@ -104,6 +105,7 @@
  */
 struct cm_steer_config {
 	char domain[CM_NAME_SIZE];
+	uint64_t seed;
 	uint32_t flows_max;
 	uint32_t flow_life_ms;
 	uint32_t domain_out_ms;
@@ -138,7 +140,7 @@
  * @is_leaving: the node is in graceful shutdown
  * @told_ms: latest time that the node was given
  * @active_ms: clock that stands while the node is paused
- * @choices: choices so far
+ * @choices: number of the last choice
  * @last_flow_ms: when a packet was last sent on
  * @has_reached: a server answered or was reached since the start
  * @silent_syns: SYNs in a row, to any server, that got no answer
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -15,6 +15,7 @@
 	memset(steer, 0, sizeof(*steer));
 	pthread_mutex_init(&steer->lock, NULL);
 	steer->config = *config;
+	steer->choices = CM_STEER_FIRST_CHOICE;
 	steer->domain_hash = cm_steer_name_hash(config->domain);
 	cm_steer_servers_init(&steer->servers);
 	cm_steer_peers_init(&steer->peers);
--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -6,6 +6,9 @@
 
 #include "chervilmast/steer.h"
 
+/** Number before the first choice; servers are in an order before it. */
+#define CM_STEER_FIRST_CHOICE (1ULL << 32)
+
 /**
  * cm_steer_domain_out() - find a failure domain that was taken out
  * @steer: the node; its lock is held
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -41,13 +41,31 @@
 	return error;
 }
 
+/*
+ * A new server joins the order of choices at a place that differs from node to
+ * node: all of them would give it their next flow at once.
+ */
+static void join_order(struct cm_steer *steer, struct cm_steer_server *server)
+{
+	uint64_t places = steer->servers.count;
+
+	if (steer->choices == CM_STEER_FIRST_CHOICE)
+		places = CM_STEER_FIRST_CHOICE;
+	server->chosen = steer->choices -
+			 cm_hash_mix(server->token, steer->config.seed) %
+				 places;
+}
+
 int cm_steer_put_server(struct cm_steer *steer, uint64_t now_ms,
 			const struct cm_server_entry *entry)
 {
+	struct cm_steer_server *server;
 	int error;
 
 	pthread_mutex_lock(&steer->lock);
-	error = cm_steer_servers_put(&steer->servers, entry, now_ms, NULL);
+	error = cm_steer_servers_put(&steer->servers, entry, now_ms, &server);
+	if (!error && !server->chosen)
+		join_order(steer, server);
 	pthread_mutex_unlock(&steer->lock);
 	return error;
 }
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -102,6 +102,7 @@
 steer_config(const struct cm_steer_settings *settings)
 {
 	struct cm_steer_config config = {
+		.seed = cm_steer_name_hash(settings->name),
 		.flows_max = settings->flows_max,
 		.flow_life_ms = settings->flow_life_s * MS_PER_S,
 		.domain_out_ms =
--- a/tests/unit/test_steer_choice.c
+++ b/tests/unit/test_steer_choice.c
@@ -31,6 +31,60 @@
 		ck_assert_uint_eq(got[id], 100);
 }
 
+/* Starts node @seed anew, with @count servers of its own domain. */
+static void start_node(uint64_t seed, uint32_t count)
+{
+	steering_teardown();
+	steering_setup();
+	steering.config.seed = seed;
+	steering_plan(1, 0);
+	for (uint32_t id = 1; id <= count; id++)
+		steering_add(id, "a");
+	cm_steer_heard(&steering, steering_ms);
+}
+
+/* When all nodes start together, none knows what the others give. */
+TEST(nodes_that_start_together_begin_with_different_servers)
+{
+	uint32_t first[41] = { 0 };
+	uint32_t servers = 0;
+
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		start_node(seed, 40);
+		first[steering_syn(1, 0).server_id]++;
+	}
+	for (uint32_t id = 1; id <= 40; id++)
+		servers += first[id] > 0;
+	ck_assert_uint_ge(servers, 10);
+}
+
+TEST(new_server_is_not_the_next_of_all_nodes)
+{
+	uint32_t got[128];
+	uint32_t next = 0;
+
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		start_node(seed, 10);
+		play(100, got, 128);
+		steering_add(11, "a");
+		next += steering_syn(2000, 0).server_id == 11;
+	}
+	ck_assert_uint_le(next, 6);
+}
+
+/* It takes part like the others all the same. */
+TEST(new_server_gets_its_part)
+{
+	uint32_t got[128];
+
+	start_node(7, 10);
+	play(100, got, 128);
+	steering_add(11, "a");
+	play(220, got, 128);
+	ck_assert_uint_ge(got[11], 15);
+	ck_assert_uint_le(got[11], 25);
+}
+
 TEST(one_answer_clears_a_suspected_server)
 {
 	struct cm_steer_server *server;
