Send a flow that was placed in vain to a server that answered lately

A caller whose SYN met a silent server was placed again by load only, at times at the next silent one (p99 1.6 to 1.9 s from 12 to 16 s). And each instance of a domain found each reused address by a flow of its own: a TCP connection had reached the address (another server's), which weighed more than the word of the others for 2 s.

Ruled out: capacity (enough slots were left); 503 (few).

Change: for a flow placed again, a server that did not answer within 1.5 s costs three free servers more. Another instance's word holds whatever a probe of one's own reached before; a later probe or an answer ends it, as before.

Tests, failing before: a flow placed in vain goes to the busy server that answered, not to the free unproven one; fresh flows go to free ones. The last part of server_that_others_suspect_is_probed_first asserted the rule that is dropped; it asserts now that the word holds anew, and that an answer outweighs it.

--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -5,8 +5,6 @@
 #define DOUBT_HOLDS_MS 2000
 /** Time for which an answer outweighs another node's word, ms. */
 #define ANSWER_HOLDS_MS 300
-/** Time for which a probe outweighs another node's word, ms. */
-#define REACH_HOLDS_MS 2000
 /** Longest time of a flow that is taken for work of the server, ms. */
 #define SERVICE_MAX_MS 10000
 
@@ -38,9 +36,7 @@
 void cm_server_health_doubt(struct cm_server_health *health, uint64_t now_ms)
 {
 	if (health->unanswered ||
-	    now_ms < health->answered_ms + ANSWER_HOLDS_MS ||
-	    (health->reached_ms &&
-	     now_ms < health->reached_ms + REACH_HOLDS_MS))
+	    now_ms < health->answered_ms + ANSWER_HOLDS_MS)
 		return;
 	health->doubted_until_ms = now_ms + DOUBT_HOLDS_MS;
 }
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -9,6 +9,11 @@
 #define REMOTE_COST 1000
 /** Cost of a server in its cold start, thousandths of a free server. */
 #define COLD_COST 400
+/** Cost, for a flow that was placed in vain, of a server that did not answer
+ * lately, thousandths of a free server. */
+#define UNPROVEN_COST 3000
+/** Time for which an answer proves that a server is there, ms. */
+#define ANSWER_PROVES_MS 1500
 /** A server is slow from this many thousandths of the usual time on. */
 #define SLOW_PER_MILLE 1500
 /** Age at which the time that a server took says nothing any more, ms. */
@@ -147,6 +152,13 @@
 	return ratio < SLOW_PER_MILLE ? PER_MILLE : ratio;
 }
 
+static bool answered_lately(const struct cm_steer_server *server,
+			    uint64_t now_ms)
+{
+	return server->health.answered_ms &&
+	       now_ms < server->health.answered_ms + ANSWER_PROVES_MS;
+}
+
 static uint64_t cost(const struct cm_steer *steer,
 		     const struct cm_steer_server *server,
 		     const struct outlook *outlook)
@@ -156,6 +168,9 @@
 
 	if (server->domain_hash != steer->domain_hash)
 		sum += REMOTE_COST;
+	if (outlook->choice->avoid_token &&
+	    !answered_lately(server, outlook->choice->now_ms))
+		sum += UNPROVEN_COST;
 	if (outlook->choice->now_ms < server->cold_until_ms)
 		sum += COLD_COST;
 	return sum;
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -51,9 +51,9 @@
 
 	if (steer->choices == CM_STEER_FIRST_CHOICE)
 		places = CM_STEER_FIRST_CHOICE;
-	server->chosen = steer->choices -
-			 cm_hash_mix(server->token, steer->config.seed) %
-				 places;
+	server->chosen =
+		steer->choices -
+		cm_hash_mix(server->token, steer->config.seed) % places;
 }
 
 int cm_steer_put_server(struct cm_steer *steer, uint64_t now_ms,
--- a/tests/unit/test_steer_outage.c
+++ b/tests/unit/test_steer_outage.c
@@ -300,12 +300,35 @@
 			  token);
 	cm_steer_reached(&steering, steering_ms, token);
 	ck_assert_uint_eq(steering_syn(9, 0).server_id, 1);
-	/* What the node saw itself weighs more for a while. */
+	/* Their word comes anew: what was reached may be another server. */
+	cm_steer_doubt(&steering, steering_ms, &token, 1);
+	for (uint16_t port = 10; port <= 14; port++)
+		ck_assert_uint_ne(steering_syn(port, 0).server_id, 1);
+	/* An answer that the node saw itself weighs more for a while. */
+	steering_packet(9, token, CM_STEER_ACK);
 	cm_steer_doubt(&steering, steering_ms, &token, 1);
 	ck_assert_uint_eq(cm_steer_next_probe(&steering, steering_ms, &address),
 			  0);
 }
 
+/* A caller that lost time already must not lose it to another silent server. */
+TEST(flow_placed_in_vain_goes_to_a_server_that_answered_lately)
+{
+	struct cm_steer_verdict busy, silent, again;
+
+	steering_ready(4);
+	busy = steering_syn(1, 0);
+	steering_packet(1, busy.token, CM_STEER_ACK);
+	silent = steering_syn(2, 0);
+	ck_assert_uint_ne(silent.server_id, busy.server_id);
+	steering_pass(200);
+	again = steering_syn(2, 1);
+	ck_assert_int_eq(again.reason, CM_C_STEER_PLACED_AGAIN);
+	ck_assert_uint_eq(again.server_id, busy.server_id);
+	/* Those that come fresh go to free servers as ever. */
+	ck_assert_uint_ne(steering_syn(3, 0).server_id, busy.server_id);
+}
+
 TEST(suspects_are_told_by_those_who_saw)
 {
 	uint32_t tokens[4], token = cm_steer_token(2, 0);
