--- a/tests/process/caller.c
+++ b/tests/process/caller.c
@@ -16,6 +16,9 @@
 #define SECOND_COPY_MS 600
 #define ATTEMPT_MS 1400
 #define BUDGET_MS 4000
+/** One call in so many pauses in its open flow before it sends its request. */
+#define PAUSES_ONE_IN 16
+#define FLOW_PAUSE_MS 2200
 #define RETRIES 3
 #define RETRY_PAUSE_MS 30
 #define RESEND_MS 200
@@ -39,6 +42,7 @@
  * @server_seq: of the server
  * @echo: last token that came
  * @port: its port
+ * @flow_pause_ms: pause in its open flow
  * @is_idempotent: it may be run more than once
  */
 struct call {
@@ -55,6 +59,7 @@
 	uint32_t server_seq;
 	uint32_t echo;
 	uint16_t port;
+	uint64_t flow_pause_ms;
 	bool is_idempotent;
 };
 
@@ -170,6 +175,8 @@
 		call->is_idempotent = fake_random_below(rng, 3) != 0;
 		call->domain = (int)fake_random_below(rng, PROCESS_DOMAINS);
 		call->began_ms = now;
+		if (!fake_random_below(rng, PAUSES_ONE_IN))
+			call->flow_pause_ms = FLOW_PAUSE_MS;
 		begin_attempt(call, now);
 		return;
 	}
@@ -189,9 +196,15 @@
 	call->state = FREE;
 }
 
+static uint64_t budget_ms(const struct call *call)
+{
+	return BUDGET_MS + call->flow_pause_ms;
+}
+
 static void retry(struct call *call, uint64_t now, bool may_have_run)
 {
-	if (call->attempts > RETRIES || now > call->began_ms + BUDGET_MS ||
+	if (call->attempts > RETRIES ||
+	    now > call->began_ms + budget_ms(call) ||
 	    (may_have_run && !call->is_idempotent)) {
 		end(call, false);
 		return;
@@ -221,8 +234,11 @@
 		}
 		call->state = OPEN;
 		call->pause_ms = RESEND_MS;
-		call->resend_ms = now + call->pause_ms;
-		send_call(call, PACKET_ACK, call->server_seq + 1, true);
+		call->resend_ms =
+			now + (call->flow_pause_ms ? call->flow_pause_ms :
+						     call->pause_ms);
+		send_call(call, PACKET_ACK, call->server_seq + 1,
+			  !call->flow_pause_ms);
 		return;
 	}
 	if (call->state != OPEN || packet->length < sizeof(answered))
@@ -266,7 +282,7 @@
 
 static void resend(struct call *call, uint64_t now)
 {
-	if (now >= call->began_ms + BUDGET_MS) {
+	if (now >= call->began_ms + budget_ms(call)) {
 		end(call, false);
 		return;
 	}
--- a/tests/unit/test_steer_pause.c
+++ b/tests/unit/test_steer_pause.c
@@ -36,6 +36,24 @@
 	ck_assert_uint_eq(steering_count(CM_C_STEER_SYN_UNANSWERED), 0);
 }
 
+/* Callers keep flows open between their requests. */
+TEST(pause_in_an_open_flow_changes_nothing)
+{
+	struct cm_steer_verdict first, later;
+
+	steering_ready(3);
+	first = steering_syn(1, 0);
+	steering_packet(1, first.token, CM_STEER_ACK);
+	steering_pass(10000);
+	ck_assert_uint_eq(open_flows(first.token), 0);
+	later = steering_packet(1, first.token, CM_STEER_ACK);
+	ck_assert_int_eq(later.kind, CM_STEER_FORWARD);
+	ck_assert_uint_eq(later.server_id, first.server_id);
+	steering_packet(1, first.token, CM_STEER_ACK | CM_STEER_FIN);
+	ck_assert_uint_eq(open_flows(first.token), 0);
+	ck_assert_uint_eq(steering_count(CM_C_STEER_SYN_UNANSWERED), 0);
+}
+
 /* The time of a pause must not count for what is sent after it. */
 TEST(syn_after_a_pause_has_its_whole_time)
 {
