Name the changed settings that SIGHUP leaves out

Change: event settings_kept with the keys whose change takes effect at the next start only. Scripted case steer_reload: nothing changed, a bound with the seeds and the log's level, a bound of another type (refused, nothing changes).

--- a/src/config/steer_settings.c
+++ b/src/config/steer_settings.c
@@ -1,6 +1,8 @@
 #include "steer_settings.h"
 
+#include <glib.h>
 #include <netinet/in.h>
+#include <string.h>
 
 #include "adapters/http_client.h"
 #include "adapters/socket.h"
@@ -146,3 +148,47 @@
 		*settings = read;
 	return result;
 }
+
+/* Keys that take effect while the process runs. */
+static bool is_reloaded(const char *key)
+{
+	return !strcmp(key, "log_level") || !strcmp(key, "log_lines_per_s");
+}
+
+static void add_key(GString *keys, const char *key)
+{
+	if (keys->len)
+		g_string_append_c(keys, ',');
+	g_string_append(keys, key);
+}
+
+static bool seeds_differ(const struct cm_steer_settings *a,
+			 const struct cm_steer_settings *b)
+{
+	if (a->seed_count != b->seed_count)
+		return true;
+	for (size_t i = 0; i < a->seed_count; i++)
+		if (!cm_endpoint_equal(&a->seeds[i], &b->seeds[i]))
+			return true;
+	return false;
+}
+
+char *cm_steer_settings_kept(const struct cm_steer_settings *in_force,
+			     const struct cm_steer_settings *read)
+{
+	GString *keys = g_string_new(NULL);
+	json_t *before = cm_json_write_fields(fields, in_force, 0);
+	json_t *after = cm_json_write_fields(fields, read, 0);
+	const char *key;
+	json_t *value;
+
+	json_object_foreach (before, key, value)
+		if (!is_reloaded(key) &&
+		    !json_equal(value, json_object_get(after, key)))
+			add_key(keys, key);
+	if (seeds_differ(in_force, read))
+		add_key(keys, "seeds");
+	json_decref(before);
+	json_decref(after);
+	return g_string_free(keys, !keys->len);
+}
--- a/src/config/steer_settings.h
+++ b/src/config/steer_settings.h
@@ -69,4 +69,15 @@
 int cm_steer_settings_read_file(struct cm_steer_settings *settings,
 				const char *path, struct cm_json_error *error);
 
+/**
+ * cm_steer_settings_kept() - what changed and takes effect at a start only
+ * @in_force: settings that were read at the start
+ * @read: settings that were read now
+ *
+ * Return: the keys joined by commas, freed with g_free(), or NULL when none
+ * changed.
+ */
+char *cm_steer_settings_kept(const struct cm_steer_settings *in_force,
+			     const struct cm_steer_settings *read);
+
 #endif
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -43,6 +43,8 @@
 	  "two release notes of one version are known; none is taken since")   \
 	X(NOTE_REFUSED, ERROR, "note_refused",                                 \
 	  "a published release note does not fit the one before it")           \
+	X(SETTINGS_KEPT, WARNING, "settings_kept",                             \
+	  "settings that changed take effect at the next start only")          \
 	X(SNAPSHOT_IN_FORCE, INFO, "snapshot_in_force",                        \
 	  "a snapshot of all release notes is in force at this instance")      \
 	X(NOT_READY, WARNING, "not_ready",                                     \
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -1,5 +1,6 @@
 #include "steer_entry.h"
 
+#include <glib.h>
 #include <malloc.h>
 #include <signal.h>
 #include <string.h>
@@ -220,6 +221,7 @@
 {
 	struct cm_steer_settings settings;
 	struct cm_json_error error;
+	char *kept;
 
 	reload_asked = 0;
 	if (cm_steer_settings_read_file(&settings, entry->path, &error)) {
@@ -230,6 +232,10 @@
 	cm_log_init(settings.log_level);
 	cm_log_bound(settings.log_lines_per_s);
 	cm_log(CM_EVENT_RELOADED, "name=%s", settings.name);
+	kept = cm_steer_settings_kept(&entry->settings, &settings);
+	if (kept)
+		cm_log(CM_EVENT_SETTINGS_KEPT, "keys=%s", kept);
+	g_free(kept);
 }
 
 static int run_until_signal(struct steer_entry *entry, const sigset_t *signals)
--- /dev/null
+++ b/tests/scripts/cases/steer_reload.sh
@@ -0,0 +1,65 @@
+# SIGHUP: what takes effect at once, what the log says of the rest, and a file that
+# can't be used.
+dir=$1/cases/steer_reload
+mkdir -p "$dir"
+cd "$dir" || exit 1
+PATH=$(cd - >/dev/null && pwd)/$1:$PATH
+
+settings() { # plan_ms seeds more
+	cat >settings.json <<END
+{
+	"name": "a-1",
+	"failure_domain": "a",
+	"packets": "127.0.0.3:18172",
+	"ready": "127.0.0.3:18167",
+	"metrics": "127.0.0.3:19100",
+	"control": "127.0.0.3:18166",
+	"seeds": [$2],
+	"store_url": "http://127.0.0.3:1",
+	"server_leave_ms": 3000,
+	"domain_out_ms": 5000,
+	"plan_ms": $1,
+	"flow_life_s": 60,
+	"stop_timeout_s": 1$3
+}
+END
+}
+
+# Waits until the log has so many lines of an event.
+wait_for() { # event lines
+	for _ in $(seq 600); do
+		[ "$(grep -c "event=$1" log)" -ge "$2" ] && return
+		sleep 0.05
+	done
+	echo "no line of $1"
+}
+
+said() { # lines of the reload, without their time
+	sed -n 's/^time=[^ ]* //; /event=\(reload\|settings_kept\)/p' log
+}
+
+settings 3000 '"127.0.0.4:18166"' ''
+chervilmast steer --settings settings.json >log 2>&1 &
+pid=$!
+wait_for started 1
+
+echo '# nothing changed'
+kill -HUP $pid
+wait_for reloaded 1
+said
+
+echo '# a bound, the seeds and the level of the log'
+settings 4000 '"127.0.0.5:18166", "127.0.0.4:18166"' ', "log_level": "warning"'
+kill -HUP $pid
+wait_for settings_kept 1
+said
+
+echo '# a bound of another type'
+settings '"soon"' '' ''
+kill -HUP $pid
+wait_for reload_refused 1
+said
+
+kill -TERM $pid
+wait $pid
+echo "exit $?"
