Give fewer flows to servers whose answers are errors

Cause: a server that answers errors is quick and seems to be free, and nothing told it from a good one.

Change: the caller's acknowledgements tell how many bytes it got. An end with 200 bytes or fewer is a failure; the smoothed share of failures of a server above the mean of its service's servers costs up to eight free servers. What is older than 4 s counts half, so a mended server comes back by a trial flow. The time of a failure does not count for the server's speed. Log lines of flows tell how long the packet may have waited.

Tests, failing before: a server that answers errors got 100 of 400 flows, now fewer than 20; half of the servers failing 200, now fewer than 40. Also: short answers of all servers mean nothing; a mended server gets its part; no answer is a failure. The flows of slow_server_gets_less end with an answer now, as real ones do.

--- a/include/chervilmast/server_health.h
+++ b/include/chervilmast/server_health.h
@@ -2,9 +2,10 @@
  * DOC: Health of a backend server as its flows show it
  *
  * A node sees only the callers' half of a flow. An answered SYN shows by the
- * caller's next packet, and the time until the caller ends the flow shows how
- * fast the server works. Only a server that left a SYN unanswered is probed, so
- * that no further caller has to wait for it.
+ * caller's next packet, the time until the caller ends the flow shows how fast
+ * the server works, and the bytes that the caller acknowledges whether it
+ * answered at all or with an error. Only a server that left a SYN unanswered is
+ * probed, so that no further caller has to wait for it.
  */
 #ifndef CHERVILMAST_SERVER_HEALTH_H
 #define CHERVILMAST_SERVER_HEALTH_H
@@ -21,6 +22,10 @@
  * unanswered, ms; longer than the entry of a server stays after its end.
  */
 #define CM_HEALTH_REST_MS 6000
+/** Age at which the last flow that ended says nothing any more, ms. */
+#define CM_HEALTH_STALE_MS 4000
+/** Most bytes of an answer that is no more than an error, or none. */
+#define CM_HEALTH_ERROR_BYTES 200
 
 /**
  * struct cm_server_health - what a node saw of a backend server
@@ -36,7 +41,9 @@
  * @answered_ms: when it last answered a SYN; 0 when it never did
  * @service_eighths: smoothed time from SYN to end of a flow, eighths of ms; 0
  *                   when unknown
- * @service_ms: when @service_eighths was last changed
+ * @failed_per_mille: smoothed share of its flows that ended with an error or no
+ *                    answer, thousandths
+ * @ended_ms: when a flow of it last ended; 0 when none did
  */
 struct cm_server_health {
 	uint32_t unanswered;
@@ -50,7 +57,8 @@
 	uint64_t tried_ms;
 	uint64_t answered_ms;
 	uint32_t service_eighths;
-	uint64_t service_ms;
+	uint32_t failed_per_mille;
+	uint64_t ended_ms;
 };
 
 /**
@@ -86,13 +94,16 @@
 void cm_server_health_doubt(struct cm_server_health *health, uint64_t now_ms);
 
 /**
- * cm_server_health_ended() - a flow ended as it should
+ * cm_server_health_ended() - the caller ended a flow
  * @health: what was seen
  * @took_ms: time from its SYN to its end
+ * @bytes: bytes of the server that the caller acknowledged
  * @now_ms: current time
+ *
+ * An error comes sooner than an answer: its time says nothing.
  */
 void cm_server_health_ended(struct cm_server_health *health, uint32_t took_ms,
-			    uint64_t now_ms);
+			    uint32_t bytes, uint64_t now_ms);
 
 /**
  * cm_server_health_is_suspected() - whether the server seems to be silent
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -44,6 +44,7 @@
  * @flags: CM_STEER_SYN and others
  * @repeats: SYNs of this flow that were sent before
  * @length: bytes of data
+ * @ack: number of the next byte that the caller expects, where it has ACK
  * @waited_ms: longest time for which it may have waited to be read
  */
 struct cm_steer_packet {
@@ -52,6 +53,7 @@
 	uint8_t flags;
 	uint32_t repeats;
 	uint32_t length;
+	uint32_t ack;
 	uint32_t waited_ms;
 };
 
--- a/include/chervilmast/steer_flow.h
+++ b/include/chervilmast/steer_flow.h
@@ -25,6 +25,8 @@
  * @is_judged: the SYN was found unanswered
  * @syn_ms: when its SYN was sent on, by the clock of the packets
  * @syn_active_ms: the same by the clock that stands while the node is paused
+ * @first_ack: number that the caller acknowledged first
+ * @last_ack: number that it acknowledged last
  * @last_ms: when its last packet came
  * @bucket: link in its hash bucket
  * @opening: link in the list of unanswered SYNs
@@ -37,6 +39,8 @@
 	bool is_judged;
 	uint64_t syn_ms;
 	uint64_t syn_active_ms;
+	uint32_t first_ack;
+	uint32_t last_ack;
 	uint64_t last_ms;
 	LIST_ENTRY(cm_steer_flow) bucket;
 	TAILQ_ENTRY(cm_steer_flow) opening;
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -1,6 +1,9 @@
 #include "chervilmast/server_health.h"
 
 #define EIGHTHS 8
+#define PER_MILLE 1000
+/** The last flow makes up one part in so many of the share that failed. */
+#define FAILED_PART 4
 /** Time for which another node's word holds, ms. */
 #define DOUBT_HOLDS_MS 2000
 /** Time for which an answer outweighs another node's word, ms. */
@@ -41,16 +44,32 @@
 	health->doubted_until_ms = now_ms + DOUBT_HOLDS_MS;
 }
 
+/* What is stale counts half: the server may have been mended. */
+static void note_quality(struct cm_server_health *health, bool failed,
+			 uint64_t now_ms)
+{
+	if (now_ms >= health->ended_ms + CM_HEALTH_STALE_MS)
+		health->failed_per_mille /= 2;
+	health->failed_per_mille -= health->failed_per_mille / FAILED_PART;
+	if (failed)
+		health->failed_per_mille += PER_MILLE / FAILED_PART;
+}
+
 void cm_server_health_ended(struct cm_server_health *health, uint32_t took_ms,
-			    uint64_t now_ms)
+			    uint32_t bytes, uint64_t now_ms)
 {
 	uint32_t took = took_ms < SERVICE_MAX_MS ? took_ms : SERVICE_MAX_MS;
+	bool failed = bytes <= CM_HEALTH_ERROR_BYTES;
+
+	note_quality(health, failed, now_ms);
+	health->ended_ms = now_ms;
+	if (failed)
+		return;
 
 	if (!health->service_eighths)
 		health->service_eighths = took * EIGHTHS;
 	health->service_eighths -= health->service_eighths / EIGHTHS;
 	health->service_eighths += took;
-	health->service_ms = now_ms;
 }
 
 bool cm_server_health_is_suspected(const struct cm_server_health *health)
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -200,6 +200,7 @@
 }
 
 static void note_answer(struct cm_steer *steer, uint64_t now_ms,
+			const struct cm_steer_packet *packet,
 			struct cm_steer_flow *flow,
 			struct cm_steer_server *server)
 {
@@ -209,6 +210,8 @@
 		cm_steer_flows_settle(&steer->flows, flow, true);
 	flow->is_judged = false;
 	flow->is_open = true;
+	flow->first_ack = packet->ack;
+	flow->last_ack = packet->ack;
 	cm_histograms_add(&steer->histograms, CM_H_SYN_ANSWER,
 			  now_ms - flow->syn_ms);
 	steer->silent_syns = 0;
@@ -225,7 +228,8 @@
 {
 	uint64_t took_ms = now_ms - flow->syn_ms;
 
-	cm_server_health_ended(&server->health, (uint32_t)took_ms, now_ms);
+	cm_server_health_ended(&server->health, (uint32_t)took_ms,
+			       flow->last_ack - flow->first_ack, now_ms);
 	cm_histograms_add(&steer->histograms, CM_H_FLOW, took_ms);
 }
 
@@ -239,7 +243,9 @@
 	if (!flow || flow->token != packet->token)
 		return;
 	if (!flow->is_open && !(packet->flags & CM_STEER_RST))
-		note_answer(steer, now_ms, flow, server);
+		note_answer(steer, now_ms, packet, flow, server);
+	if (packet->flags & CM_STEER_ACK)
+		flow->last_ack = packet->ack;
 	cm_steer_flows_touch(&steer->flows, flow, now_ms);
 	if (packet->flags & CM_STEER_FIN)
 		note_end(steer, now_ms, flow, server);
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -14,10 +14,13 @@
 #define UNPROVEN_COST 3000
 /** Time for which an answer proves that a server is there, ms. */
 #define ANSWER_PROVES_MS 1500
+/** Cost of a server all of whose flows fail while those of others do not,
+ * thousandths of a free server... */
+#define FAILING_COST 8000
+/** ...unless it fails so little more often than they, thousandths. */
+#define FAILING_LEAST 100
 /** A server is slow from this many thousandths of the usual time on. */
 #define SLOW_PER_MILLE 1500
-/** Age at which the time that a server took says nothing any more, ms. */
-#define SERVICE_STALE_MS 4000
 /** Nodes that give flows to a server, while none is known. */
 #define SHARERS_DEFAULT 4
 /**
@@ -56,6 +59,8 @@
  * @service_hash: hash of the service's name
  * @usual_sum: sum of the known times of servers, eighths of ms
  * @usual_count: number of servers in @usual_sum
+ * @failed_sum: sum of the known shares of flows that failed, thousandths
+ * @failed_count: number of servers in @failed_sum
  * @strangers: nodes of failure domains without a server of the service; they
  *             give their flows to all others
  * @domains: the failure domains
@@ -66,6 +71,8 @@
 	uint64_t service_hash;
 	uint64_t usual_sum;
 	uint32_t usual_count;
+	uint64_t failed_sum;
+	uint32_t failed_count;
 	uint32_t strangers;
 	struct domain domains[DOMAINS_MAX];
 	uint32_t domain_count;
@@ -131,11 +138,18 @@
 	       server->entry.slots;
 }
 
+static bool quality_is_known(const struct cm_steer_server *server,
+			     uint64_t now_ms)
+{
+	return server->health.ended_ms &&
+	       now_ms < server->health.ended_ms + CM_HEALTH_STALE_MS;
+}
+
 static bool service_time_is_known(const struct cm_steer_server *server,
 				  uint64_t now_ms)
 {
 	return server->health.service_eighths &&
-	       now_ms < server->health.service_ms + SERVICE_STALE_MS;
+	       quality_is_known(server, now_ms);
 }
 
 /* Time that a flow takes there, thousandths of the usual; slight ones are 1. */
@@ -152,6 +166,21 @@
 	return ratio < SLOW_PER_MILLE ? PER_MILLE : ratio;
 }
 
+/* What a server costs that fails more often than the service's others. */
+static uint64_t failing_cost(const struct cm_steer_server *server,
+			     const struct outlook *outlook)
+{
+	uint64_t failed = server->health.failed_per_mille;
+	uint64_t usual;
+
+	if (!quality_is_known(server, outlook->choice->now_ms))
+		return 0;
+	usual = outlook->failed_sum / outlook->failed_count;
+	if (failed < usual + FAILING_LEAST)
+		return 0;
+	return (failed - usual) * FAILING_COST / PER_MILLE;
+}
+
 static bool answered_lately(const struct cm_steer_server *server,
 			    uint64_t now_ms)
 {
@@ -166,6 +195,7 @@
 	uint64_t sum = (PER_MILLE + load(server, outlook)) *
 		       slowness(server, outlook) / PER_MILLE;
 
+	sum += failing_cost(server, outlook);
 	if (server->domain_hash != steer->domain_hash)
 		sum += REMOTE_COST;
 	if (outlook->choice->avoid_token &&
@@ -244,6 +274,10 @@
 		return;
 	if (domain)
 		domain->has_candidate = true;
+	if (quality_is_known(server, outlook->choice->now_ms)) {
+		outlook->failed_sum += server->health.failed_per_mille;
+		outlook->failed_count++;
+	}
 	if (!service_time_is_known(server, outlook->choice->now_ms))
 		return;
 	outlook->usual_sum += server->health.service_eighths;
--- a/src/daemon/steer_log.c
+++ b/src/daemon/steer_log.c
@@ -23,14 +23,15 @@
 	cm_log(verdict->kind == CM_STEER_FORWARD ? CM_EVENT_FLOW_PLACED :
 						   CM_EVENT_FLOW_REFUSED,
 	       "caller=%s route=%s reason=%s service=%s server=%llx at=%s "
-	       "token=%08x repeats=%u plan=%llu registry_age_ms=%llu",
+	       "token=%08x repeats=%u waited_ms=%u plan=%llu "
+	       "registry_age_ms=%llu",
 	       cm_endpoint_write(&packet->key.caller, caller),
 	       cm_endpoint_write(&packet->key.service, service),
 	       cm_counter_name(verdict->reason), verdict->service,
 	       (unsigned long long)verdict->server_id,
 	       cm_endpoint_write(&verdict->server, server),
 	       verdict->token ? verdict->token : packet->token, packet->repeats,
-	       (unsigned long long)verdict->plan_version,
+	       packet->waited_ms, (unsigned long long)verdict->plan_version,
 	       (unsigned long long)verdict->plan_age_ms);
 }
 
--- a/tests/unit/steering.c
+++ b/tests/unit/steering.c
@@ -131,9 +131,20 @@
 
 	packet.flags = flags;
 	packet.token = token;
+	packet.ack = STEERING_FIRST_ACK;
 	return give(&packet);
 }
 
+void steering_end(uint16_t port, uint32_t token, uint32_t bytes)
+{
+	struct cm_steer_packet packet = packet_of(port);
+
+	packet.flags = CM_STEER_ACK | CM_STEER_FIN;
+	packet.token = token;
+	packet.ack = STEERING_FIRST_ACK + bytes;
+	give(&packet);
+}
+
 uint64_t steering_serve(uint16_t port, uint32_t took_ms)
 {
 	struct cm_steer_verdict verdict = steering_syn(port, 0);
@@ -141,7 +152,7 @@
 	ck_assert_int_eq(verdict.kind, CM_STEER_FORWARD);
 	steering_packet(port, verdict.token, CM_STEER_ACK);
 	steering_pass(took_ms);
-	steering_packet(port, verdict.token, CM_STEER_ACK | CM_STEER_FIN);
+	steering_end(port, verdict.token, STEERING_ANSWER);
 	return verdict.server_id;
 }
 
--- a/tests/unit/steering.h
+++ b/tests/unit/steering.h
@@ -17,6 +17,11 @@
 #define STEERING_LAPSE_MS 2500
 #define STEERING_LIFE_MS 60000
 
+/** What callers acknowledge first; wraps within an answer. */
+#define STEERING_FIRST_ACK 0xfffffff0U
+/** Bytes of an answer. */
+#define STEERING_ANSWER 1000
+
 /** The route's address. */
 extern const struct cm_endpoint steering_route;
 
@@ -55,6 +60,10 @@
 struct cm_steer_verdict steering_packet(uint16_t port, uint32_t token,
 					uint8_t flags);
 
+/** steering_end() - end the flow of the caller at @port, who got an answer of
+ * @bytes after its first ACK */
+void steering_end(uint16_t port, uint32_t token, uint32_t bytes);
+
 /** steering_serve() - a whole flow of the caller at @port that takes @took_ms;
  * returns the id of its server */
 uint64_t steering_serve(uint16_t port, uint32_t took_ms);
--- a/tests/unit/test_steer_choice.c
+++ b/tests/unit/test_steer_choice.c
@@ -111,8 +111,7 @@
 
 		steering_packet(port, verdict.token, CM_STEER_ACK);
 		steering_pass(verdict.server_id == 1 ? 200 : 40);
-		steering_packet(port, verdict.token,
-				CM_STEER_ACK | CM_STEER_FIN);
+		steering_end(port, verdict.token, STEERING_ANSWER);
 		got[verdict.server_id]++;
 	}
 	ck_assert_uint_lt(got[1], 30);
--- /dev/null
+++ b/tests/unit/test_steer_failing.c
@@ -0,0 +1,89 @@
+#include "unit/suites.h"
+
+#include <string.h>
+
+#include "unit/steering.h"
+
+#define SERVERS 4
+#define FLOWS 400
+#define WORK_MS 40
+/** An error is answered at once, and is short. */
+#define ERROR_MS 2
+#define ERROR_BYTES 120
+
+UNIT_CASE("steer", "failing servers", steering_setup, steering_teardown,
+	  UNIT_TIMEOUT_S);
+
+static uint32_t got[SERVERS + 1];
+static uint16_t next_port;
+
+/* One flow after the other; @failing of the servers, those with the lowest ids,
+ * answer with errors. */
+static void play(uint32_t flows, uint64_t failing)
+{
+	memset(got, 0, sizeof(got));
+	for (uint32_t i = 0; i < flows; i++) {
+		uint16_t port = ++next_port;
+		struct cm_steer_verdict verdict = steering_syn(port, 0);
+		bool fails = verdict.server_id <= failing;
+
+		ck_assert_uint_le(verdict.server_id, SERVERS);
+		got[verdict.server_id]++;
+		steering_packet(port, verdict.token, CM_STEER_ACK);
+		steering_pass(fails ? ERROR_MS : WORK_MS);
+		steering_end(port, verdict.token,
+			     fails ? ERROR_BYTES : STEERING_ANSWER);
+	}
+}
+
+/* It answers before all others and seems to be free always. */
+TEST(server_that_answers_errors_gets_few_flows)
+{
+	steering_ready(SERVERS);
+	play(FLOWS, 1);
+	ck_assert_uint_lt(got[1], FLOWS / 20);
+	for (uint32_t id = 2; id <= SERVERS; id++)
+		ck_assert_uint_gt(got[id], FLOWS / 4);
+}
+
+/* Half of the servers: the others bear all, which is no reason to spare these
+ * less. */
+TEST(half_of_the_servers_may_fail)
+{
+	steering_ready(SERVERS);
+	play(FLOWS, 2);
+	ck_assert_uint_lt(got[1] + got[2], FLOWS / 10);
+}
+
+/* Answers of a service may be short by nature. */
+TEST(short_answers_of_all_servers_mean_nothing)
+{
+	steering_ready(SERVERS);
+	play(FLOWS, SERVERS);
+	for (uint32_t id = 1; id <= SERVERS; id++)
+		ck_assert_uint_ge(got[id], FLOWS / SERVERS * 9 / 10);
+}
+
+TEST(server_that_answers_well_again_gets_its_part)
+{
+	steering_ready(SERVERS);
+	play(FLOWS, 1);
+	play(FLOWS, 0);
+	play(FLOWS, 0);
+	ck_assert_uint_ge(got[1], FLOWS / SERVERS * 9 / 10);
+}
+
+/* A caller that gives up got nothing. */
+TEST(flow_without_an_answer_is_a_failure)
+{
+	struct cm_steer_verdict verdict;
+	struct cm_steer_server *server;
+
+	steering_ready(SERVERS);
+	verdict = steering_syn(1, 0);
+	steering_packet(1, verdict.token, CM_STEER_ACK);
+	steering_pass(1000);
+	steering_end(1, verdict.token, 0);
+	server = cm_steer_servers_by_id(&steering.servers, verdict.server_id);
+	ck_assert_uint_gt(server->health.failed_per_mille, 0);
+}
