Add up in a failure domain which servers' flows fail

Change: with each question to the source an instance names the server of each flow that it saw fail; the source adds them up (three or more, less for old ones), and its answer names the servers that fail again and again. Such a server costs four free ones at an instance that saw no flow of it for 4 s, unless more than a third of the service's servers are named. An open flow whose caller sent data and that stays without any byte for 1.5 s counts as failed, if the instance was at work.

Ruled out: reporting a server after one failure (answers that are short by nature would spare each server in turn).

Tests: the tally as a table, its bound; failures are told once; a warned server is spared, own sight weighs more; never more than a third; silences as a table (asked or not, answered or not, node paused). Frames of messages adapted to the new field, and one more each.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -185,6 +185,8 @@
 	  "packets of open flows dropped as no server is known by the token")    \
 	X(STEER_FLOW_FORGOTTEN, "steer_flow_forgotten",                          \
 	  "flows no longer observed as the table is full")                       \
+	X(STEER_FLOW_FAILED, "steer_flow_failed",                                \
+	  "flows that ended with an error's bytes or none")                      \
 	X(STEER_SYN_UNANSWERED, "steer_syn_unanswered",                          \
 	  "SYNs that a server did not answer in time")                           \
 	X(STEER_SUSPECTED, "steer_suspected",                                    \
--- a/include/chervilmast/message.h
+++ b/include/chervilmast/message.h
@@ -192,16 +192,16 @@
 	uint32_t server_count;
 };
 
-/** Most suspects in one message. */
-#define CM_MESSAGE_SUSPECTS_MAX 64
+/** Most tokens in one list of a message. */
+#define CM_MESSAGE_TOKENS_MAX 64
 
 /**
- * struct cm_message_suspects - backend servers that seem to be silent
+ * struct cm_message_tokens - a list of backend servers
  * @tokens: tokens of the servers
  * @count: number of @tokens
  */
-struct cm_message_suspects {
-	uint32_t tokens[CM_MESSAGE_SUSPECTS_MAX];
+struct cm_message_tokens {
+	uint32_t tokens[CM_MESSAGE_TOKENS_MAX];
 	uint32_t count;
 };
 
@@ -209,10 +209,12 @@
  * struct cm_message_items_request - body of ITEMS_REQUEST
  * @after: revision up to which the sender knows the registry; 0 for nothing
  * @suspects: servers that the sender suspects by what it saw itself
+ * @failures: server of each flow that it saw fail since the last question
  */
 struct cm_message_items_request {
 	uint64_t after;
-	struct cm_message_suspects suspects;
+	struct cm_message_tokens suspects;
+	struct cm_message_tokens failures;
 };
 
 /**
@@ -239,6 +241,7 @@
  * @items: the items; owned
  * @count: number of @items
  * @suspects: servers that instances of the sender's domain suspect
+ * @failing: servers whose flows fail again and again there
  */
 struct cm_message_items {
 	uint64_t revision;
@@ -246,7 +249,8 @@
 	bool is_all;
 	struct cm_message_item *items;
 	uint32_t count;
-	struct cm_message_suspects suspects;
+	struct cm_message_tokens suspects;
+	struct cm_message_tokens failing;
 };
 
 /**
--- a/include/chervilmast/server_health.h
+++ b/include/chervilmast/server_health.h
@@ -44,6 +44,7 @@
  * @failed_per_mille: smoothed share of its flows that ended with an error or no
  *                    answer, thousandths
  * @ended_ms: when a flow of it last ended; 0 when none did
+ * @warned_until_ms: until then the word of others that its flows fail holds
  */
 struct cm_server_health {
 	uint32_t unanswered;
@@ -59,6 +60,7 @@
 	uint32_t service_eighths;
 	uint32_t failed_per_mille;
 	uint64_t ended_ms;
+	uint64_t warned_until_ms;
 };
 
 /**
@@ -93,6 +95,14 @@
  */
 void cm_server_health_doubt(struct cm_server_health *health, uint64_t now_ms);
 
+/**
+ * cm_server_health_failed() - whether an end of a flow is a failure
+ * @bytes: bytes of the server that the caller acknowledged
+ *
+ * Return: true for no more than an error has.
+ */
+bool cm_server_health_failed(uint32_t bytes);
+
 /**
  * cm_server_health_ended() - the caller ended a flow
  * @health: what was seen
@@ -101,10 +111,19 @@
  * @now_ms: current time
  *
  * An error comes sooner than an answer: its time says nothing.
+ *
+ * Return: true when the flow failed.
  */
-void cm_server_health_ended(struct cm_server_health *health, uint32_t took_ms,
+bool cm_server_health_ended(struct cm_server_health *health, uint32_t took_ms,
 			    uint32_t bytes, uint64_t now_ms);
 
+/**
+ * cm_server_health_warn() - other nodes saw its flows fail again and again
+ * @health: what was seen
+ * @now_ms: current time
+ */
+void cm_server_health_warn(struct cm_server_health *health, uint64_t now_ms);
+
 /**
  * cm_server_health_is_suspected() - whether the server seems to be silent
  * @health: what was seen
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -28,6 +28,9 @@
 /** Most failure domains that may be out at once. */
 #define CM_STEER_DOMAINS_OUT_MAX 16
 
+/** Most failed flows that a node remembers until it told them. */
+#define CM_STEER_FAILURES_MAX 64
+
 /** Opens a flow. */
 #define CM_STEER_SYN 1
 /** Acknowledges bytes of the other end. */
@@ -148,6 +151,8 @@
  * @silent_syns: SYNs in a row, to any server, that got no answer
  * @probed_ms: when the last probe began
  * @was_ready: whether the node was ready at the last tick
+ * @failures: server of each flow that failed and was not told yet
+ * @failure_count: number of @failures
  * @changes: what it concluded by itself
  * @counters: counters
  * @histograms: times
@@ -174,6 +179,8 @@
 	uint32_t silent_syns;
 	uint64_t probed_ms;
 	bool was_ready;
+	uint32_t failures[CM_STEER_FAILURES_MAX];
+	uint32_t failure_count;
 	struct cm_steer_changes changes;
 	struct cm_counters counters;
 	struct cm_histograms histograms;
@@ -391,6 +398,26 @@
 void cm_steer_doubt(struct cm_steer *steer, uint64_t now_ms,
 		    const uint32_t *tokens, uint32_t count);
 
+/**
+ * cm_steer_take_failures() - flows that this node saw fail since the last call
+ * @steer: the node
+ * @tokens: set to the token of the server of each; room for
+ *          CM_STEER_FAILURES_MAX
+ *
+ * Return: number of @tokens.
+ */
+uint32_t cm_steer_take_failures(struct cm_steer *steer, uint32_t *tokens);
+
+/**
+ * cm_steer_warn() - other nodes saw flows of servers fail again and again
+ * @steer: the node
+ * @now_ms: current time
+ * @tokens: tokens of the servers
+ * @count: number of @tokens
+ */
+void cm_steer_warn(struct cm_steer *steer, uint64_t now_ms,
+		   const uint32_t *tokens, uint32_t count);
+
 /**
  * cm_steer_idle_ms() - time since a packet was last sent on
  * @steer: the node
--- a/include/chervilmast/steer_flow.h
+++ b/include/chervilmast/steer_flow.h
@@ -23,6 +23,7 @@
  * @token: server that its SYN was sent to
  * @is_open: the SYN was answered
  * @is_judged: the SYN was found unanswered
+ * @has_asked: the caller sent data
  * @syn_ms: when its SYN was sent on, by the clock of the packets
  * @syn_active_ms: the same by the clock that stands while the node is paused
  * @first_ack: number that the caller acknowledged first
@@ -37,6 +38,7 @@
 	uint32_t token;
 	bool is_open;
 	bool is_judged;
+	bool has_asked;
 	uint64_t syn_ms;
 	uint64_t syn_active_ms;
 	uint32_t first_ack;
--- a/src/adapters/message_items.c
+++ b/src/adapters/message_items.c
@@ -4,15 +4,14 @@
 #include "message_internal.h"
 #include "message_reader.h"
 
-static void get_suspects(struct cm_reader *reader,
-			 struct cm_message_suspects *suspects)
+static void get_tokens(struct cm_reader *reader,
+		       struct cm_message_tokens *tokens)
 {
-	struct cm_reader list =
-		cm_reader_array(reader, CM_MESSAGE_SUSPECTS_MAX);
+	struct cm_reader list = cm_reader_array(reader, CM_MESSAGE_TOKENS_MAX);
 
-	suspects->count = list.left;
-	for (uint32_t i = 0; i < suspects->count && !*reader->error; i++)
-		suspects->tokens[i] =
+	tokens->count = list.left;
+	for (uint32_t i = 0; i < tokens->count && !*reader->error; i++)
+		tokens->tokens[i] =
 			(uint32_t)cm_reader_number(&list, UINT32_MAX);
 }
 
@@ -23,7 +22,8 @@
 		cm_reader_struct(outer, CM_ITEMS_REQUEST_FIELDS);
 
 	message->items_request.after = cm_reader_number(&reader, UINT64_MAX);
-	get_suspects(&reader, &message->items_request.suspects);
+	get_tokens(&reader, &message->items_request.suspects);
+	get_tokens(&reader, &message->items_request.failures);
 }
 
 static void get_item(struct cm_reader *list, struct cm_message_item *item)
@@ -65,5 +65,6 @@
 		cm_reader_fail(&reader, error);
 	for (uint32_t i = 0; i < body->count && !*reader.error; i++)
 		get_item(&list, &body->items[i]);
-	get_suspects(&reader, &body->suspects);
+	get_tokens(&reader, &body->suspects);
+	get_tokens(&reader, &body->failing);
 }
--- a/src/adapters/message_msgpack.c
+++ b/src/adapters/message_msgpack.c
@@ -158,12 +158,12 @@
 	}
 }
 
-static void put_suspects(msgpack_packer *packer,
-			 const struct cm_message_suspects *suspects)
+static void put_tokens(msgpack_packer *packer,
+		       const struct cm_message_tokens *tokens)
 {
-	msgpack_pack_array(packer, suspects->count);
-	for (uint32_t i = 0; i < suspects->count; i++)
-		msgpack_pack_uint64(packer, suspects->tokens[i]);
+	msgpack_pack_array(packer, tokens->count);
+	for (uint32_t i = 0; i < tokens->count; i++)
+		msgpack_pack_uint64(packer, tokens->tokens[i]);
 }
 
 static void put_items_request(msgpack_packer *packer,
@@ -171,7 +171,8 @@
 {
 	msgpack_pack_array(packer, CM_ITEMS_REQUEST_FIELDS);
 	msgpack_pack_uint64(packer, message->items_request.after);
-	put_suspects(packer, &message->items_request.suspects);
+	put_tokens(packer, &message->items_request.suspects);
+	put_tokens(packer, &message->items_request.failures);
 }
 
 static void put_items(msgpack_packer *packer, const struct cm_message *message)
@@ -193,7 +194,8 @@
 		msgpack_pack_uint64(packer, item->revision);
 		msgpack_pack_uint64(packer, item->is_gone);
 	}
-	put_suspects(packer, &body->suspects);
+	put_tokens(packer, &body->suspects);
+	put_tokens(packer, &body->failing);
 }
 
 typedef void put_body_function(msgpack_packer *packer,
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -8,6 +8,8 @@
 #define DOUBT_HOLDS_MS 2000
 /** Time for which an answer outweighs another node's word, ms. */
 #define ANSWER_HOLDS_MS 300
+/** Time for which another node's word of failures holds, ms. */
+#define WARNING_HOLDS_MS 1000
 /** Longest time of a flow that is taken for work of the server, ms. */
 #define SERVICE_MAX_MS 10000
 
@@ -55,21 +57,32 @@
 		health->failed_per_mille += PER_MILLE / FAILED_PART;
 }
 
-void cm_server_health_ended(struct cm_server_health *health, uint32_t took_ms,
+bool cm_server_health_failed(uint32_t bytes)
+{
+	return bytes <= CM_HEALTH_ERROR_BYTES;
+}
+
+bool cm_server_health_ended(struct cm_server_health *health, uint32_t took_ms,
 			    uint32_t bytes, uint64_t now_ms)
 {
 	uint32_t took = took_ms < SERVICE_MAX_MS ? took_ms : SERVICE_MAX_MS;
-	bool failed = bytes <= CM_HEALTH_ERROR_BYTES;
+	bool failed = cm_server_health_failed(bytes);
 
 	note_quality(health, failed, now_ms);
 	health->ended_ms = now_ms;
 	if (failed)
-		return;
+		return true;
 
 	if (!health->service_eighths)
 		health->service_eighths = took * EIGHTHS;
 	health->service_eighths -= health->service_eighths / EIGHTHS;
 	health->service_eighths += took;
+	return false;
+}
+
+void cm_server_health_warn(struct cm_server_health *health, uint64_t now_ms)
+{
+	health->warned_until_ms = now_ms + WARNING_HOLDS_MS;
 }
 
 bool cm_server_health_is_suspected(const struct cm_server_health *health)
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -228,8 +228,7 @@
 {
 	uint64_t took_ms = now_ms - flow->syn_ms;
 
-	cm_server_health_ended(&server->health, (uint32_t)took_ms,
-			       flow->last_ack - flow->first_ack, now_ms);
+	cm_steer_judge_end(steer, now_ms, flow, server);
 	cm_histograms_add(&steer->histograms, CM_H_FLOW, took_ms);
 }
 
@@ -246,6 +245,8 @@
 		note_answer(steer, now_ms, packet, flow, server);
 	if (packet->flags & CM_STEER_ACK)
 		flow->last_ack = packet->ack;
+	if (packet->length)
+		flow->has_asked = true;
 	cm_steer_flows_touch(&steer->flows, flow, now_ms);
 	if (packet->flags & CM_STEER_FIN)
 		note_end(steer, now_ms, flow, server);
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -19,6 +19,11 @@
 #define FAILING_COST 8000
 /** ...unless it fails so little more often than they, thousandths. */
 #define FAILING_LEAST 100
+/** Cost of a server whose flows fail by the word of others, thousandths of a
+ * free server. */
+#define WARNED_COST 4000
+/** The word of others holds for one server in so many at most. */
+#define WARNED_PART 3
 /** A server is slow from this many thousandths of the usual time on. */
 #define SLOW_PER_MILLE 1500
 /** Nodes that give flows to a server, while none is known. */
@@ -61,6 +66,8 @@
  * @usual_count: number of servers in @usual_sum
  * @failed_sum: sum of the known shares of flows that failed, thousandths
  * @failed_count: number of servers in @failed_sum
+ * @candidates: servers that may get the flow
+ * @warned: of these, servers whose flows fail by the word of others
  * @strangers: nodes of failure domains without a server of the service; they
  *             give their flows to all others
  * @domains: the failure domains
@@ -73,6 +80,8 @@
 	uint32_t usual_count;
 	uint64_t failed_sum;
 	uint32_t failed_count;
+	uint32_t candidates;
+	uint32_t warned;
 	uint32_t strangers;
 	struct domain domains[DOMAINS_MAX];
 	uint32_t domain_count;
@@ -166,6 +175,21 @@
 	return ratio < SLOW_PER_MILLE ? PER_MILLE : ratio;
 }
 
+static bool is_warned_of(const struct cm_steer_server *server, uint64_t now_ms)
+{
+	return now_ms < server->health.warned_until_ms;
+}
+
+/* Where many fail, it is not the servers, or they are needed all the same. */
+static uint64_t warned_cost(const struct cm_steer_server *server,
+			    const struct outlook *outlook)
+{
+	if (!is_warned_of(server, outlook->choice->now_ms) ||
+	    outlook->warned * WARNED_PART > outlook->candidates)
+		return 0;
+	return WARNED_COST;
+}
+
 /* What a server costs that fails more often than the service's others. */
 static uint64_t failing_cost(const struct cm_steer_server *server,
 			     const struct outlook *outlook)
@@ -174,7 +198,7 @@
 	uint64_t usual;
 
 	if (!quality_is_known(server, outlook->choice->now_ms))
-		return 0;
+		return warned_cost(server, outlook);
 	usual = outlook->failed_sum / outlook->failed_count;
 	if (failed < usual + FAILING_LEAST)
 		return 0;
@@ -274,6 +298,8 @@
 		return;
 	if (domain)
 		domain->has_candidate = true;
+	outlook->candidates++;
+	outlook->warned += is_warned_of(server, outlook->choice->now_ms);
 	if (quality_is_known(server, outlook->choice->now_ms)) {
 		outlook->failed_sum += server->health.failed_per_mille;
 		outlook->failed_count++;
--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -64,6 +64,17 @@
  */
 void cm_steer_advance_clock(struct cm_steer *steer, uint64_t now_ms);
 
+/**
+ * cm_steer_judge_end() - what the end of an open flow says of its server
+ * @steer: the node; its lock is held
+ * @now_ms: current time
+ * @flow: the flow
+ * @server: its server
+ */
+void cm_steer_judge_end(struct cm_steer *steer, uint64_t now_ms,
+			const struct cm_steer_flow *flow,
+			struct cm_steer_server *server);
+
 /**
  * cm_steer_is_overdue() - whether a SYN should have been answered by now
  * @steer: the node; its lock is held
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -96,11 +96,39 @@
 	}
 }
 
+/* Failures are told to the others, but for more than they take. */
+void cm_steer_judge_end(struct cm_steer *steer, uint64_t now_ms,
+			const struct cm_steer_flow *flow,
+			struct cm_steer_server *server)
+{
+	if (!cm_server_health_ended(&server->health,
+				    (uint32_t)(now_ms - flow->syn_ms),
+				    flow->last_ack - flow->first_ack, now_ms))
+		return;
+	cm_counters_add(&steer->counters, CM_C_STEER_FLOW_FAILED);
+	if (steer->failure_count < CM_STEER_FAILURES_MAX)
+		steer->failures[steer->failure_count++] = server->token;
+}
+
+/* Its caller asked and got nothing, all the while that the node was at work. */
+static bool got_nothing(const struct cm_steer *steer,
+			const struct cm_steer_flow *flow)
+{
+	return flow->is_open && flow->has_asked &&
+	       cm_server_health_failed(flow->last_ack - flow->first_ack) &&
+	       steer->active_ms >= flow->syn_active_ms + FLOW_IDLE_MS;
+}
+
 static void forget_idle(struct cm_steer *steer, uint64_t now_ms)
 {
 	struct cm_steer_flow *flow = cm_steer_flows_oldest(&steer->flows);
 
 	while (flow && now_ms >= flow->last_ms + FLOW_IDLE_MS) {
+		struct cm_steer_server *server =
+			cm_steer_servers_by_token(&steer->servers, flow->token);
+
+		if (server && got_nothing(steer, flow))
+			cm_steer_judge_end(steer, now_ms, flow, server);
 		cm_steer_forget_flow(steer, flow);
 		flow = cm_steer_flows_oldest(&steer->flows);
 	}
@@ -269,6 +297,32 @@
 	pthread_mutex_unlock(&steer->lock);
 }
 
+uint32_t cm_steer_take_failures(struct cm_steer *steer, uint32_t *tokens)
+{
+	uint32_t count;
+
+	pthread_mutex_lock(&steer->lock);
+	count = steer->failure_count;
+	memcpy(tokens, steer->failures, count * sizeof(*tokens));
+	steer->failure_count = 0;
+	pthread_mutex_unlock(&steer->lock);
+	return count;
+}
+
+void cm_steer_warn(struct cm_steer *steer, uint64_t now_ms,
+		   const uint32_t *tokens, uint32_t count)
+{
+	pthread_mutex_lock(&steer->lock);
+	for (uint32_t i = 0; i < count; i++) {
+		struct cm_steer_server *server =
+			cm_steer_servers_by_token(&steer->servers, tokens[i]);
+
+		if (server)
+			cm_server_health_warn(&server->health, now_ms);
+	}
+	pthread_mutex_unlock(&steer->lock);
+}
+
 uint64_t cm_steer_idle_ms(struct cm_steer *steer, uint64_t now_ms)
 {
 	uint64_t idle_ms;
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -21,6 +21,7 @@
 	cm_feed_source_init(&feed->source, age_max_ms);
 	feed->asked_ms = 0;
 	memset(&feed->suspects, 0, sizeof(feed->suspects));
+	memset(&feed->failures, 0, sizeof(feed->failures));
 	feed->swept_ms = 0;
 }
 
@@ -150,7 +151,9 @@
 {
 	request->after = cm_feed_revision(feed);
 	request->suspects.count = cm_steer_suspects(
-		feed->steer, request->suspects.tokens, CM_MESSAGE_SUSPECTS_MAX);
+		feed->steer, request->suspects.tokens, CM_MESSAGE_TOKENS_MAX);
+	request->failures.count =
+		cm_steer_take_failures(feed->steer, request->failures.tokens);
 }
 
 static void take_items(struct cm_feed *feed,
@@ -195,6 +198,8 @@
 	pthread_mutex_unlock(&feed->lock);
 	cm_steer_doubt(feed->steer, now_ms, items->suspects.tokens,
 		       items->suspects.count);
+	cm_steer_warn(feed->steer, now_ms, items->failing.tokens,
+		      items->failing.count);
 }
 
 /**
@@ -247,8 +252,8 @@
 
 /* Adds what the other instance suspects, and tells what all suspect. */
 static void exchange_suspects(struct cm_feed *feed, uint64_t now_ms,
-			      const struct cm_message_suspects *theirs,
-			      struct cm_message_suspects *all)
+			      const struct cm_message_tokens *theirs,
+			      struct cm_message_tokens *all)
 {
 	uint32_t own[CM_SUSPECT_LIST_MAX];
 	uint32_t count =
@@ -260,6 +265,21 @@
 	all->count = cm_suspect_list_read(&feed->suspects, now_ms, all->tokens);
 }
 
+/* Adds the failures that the other instance saw to all others. */
+static void exchange_failures(struct cm_feed *feed, uint64_t now_ms,
+			      const struct cm_message_tokens *theirs,
+			      struct cm_message_tokens *failing)
+{
+	uint32_t own[CM_STEER_FAILURES_MAX];
+	uint32_t count = cm_steer_take_failures(feed->steer, own);
+
+	cm_failure_tally_add(&feed->failures, now_ms, own, count);
+	cm_failure_tally_add(&feed->failures, now_ms, theirs->tokens,
+			     theirs->count);
+	failing->count =
+		cm_failure_tally_read(&feed->failures, now_ms, failing->tokens);
+}
+
 int cm_feed_answer(struct cm_feed *feed, uint64_t now_ms,
 		   const struct cm_message_items_request *request,
 		   struct cm_message_items *items)
@@ -277,8 +297,11 @@
 		error = copy_items(&feed->log, items->is_all ? 0 : after,
 				   items);
 	exchange_suspects(feed, now_ms, &request->suspects, &items->suspects);
+	exchange_failures(feed, now_ms, &request->failures, &items->failing);
 	pthread_mutex_unlock(&feed->lock);
 	cm_steer_doubt(feed->steer, now_ms, request->suspects.tokens,
 		       request->suspects.count);
+	cm_steer_warn(feed->steer, now_ms, items->failing.tokens,
+		      items->failing.count);
 	return error;
 }
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -13,6 +13,7 @@
 #include "chervilmast/feed_source.h"
 #include "chervilmast/message.h"
 #include "chervilmast/steer.h"
+#include "chervilmast/failure_tally.h"
 #include "chervilmast/suspect_list.h"
 #include "ports/registry.h"
 
@@ -25,6 +26,7 @@
  * @source: what was made of the instance that is asked
  * @asked_ms: when the source was asked last; 0 when it has answered since
  * @suspects: servers that instances of the failure domain suspect
+ * @failures: flows that instances of the failure domain saw fail
  * @swept_ms: when the copy was last swept
  */
 struct cm_feed {
@@ -35,6 +37,7 @@
 	struct cm_feed_source source;
 	uint64_t asked_ms;
 	struct cm_suspect_list suspects;
+	struct cm_failure_tally failures;
 	uint64_t swept_ms;
 };
 
--- a/tests/unit/steering.c
+++ b/tests/unit/steering.c
@@ -135,6 +135,17 @@
 	return give(&packet);
 }
 
+void steering_data(uint16_t port, uint32_t token, uint32_t bytes)
+{
+	struct cm_steer_packet packet = packet_of(port);
+
+	packet.flags = CM_STEER_ACK;
+	packet.token = token;
+	packet.length = 1;
+	packet.ack = STEERING_FIRST_ACK + bytes;
+	give(&packet);
+}
+
 void steering_end(uint16_t port, uint32_t token, uint32_t bytes)
 {
 	struct cm_steer_packet packet = packet_of(port);
--- a/tests/unit/steering.h
+++ b/tests/unit/steering.h
@@ -60,6 +60,9 @@
 struct cm_steer_verdict steering_packet(uint16_t port, uint32_t token,
 					uint8_t flags);
 
+/** steering_data() - data of the caller at @port, who got @bytes so far */
+void steering_data(uint16_t port, uint32_t token, uint32_t bytes);
+
 /** steering_end() - end the flow of the caller at @port, who got an answer of
  * @bytes after its first ACK */
 void steering_end(uint16_t port, uint32_t token, uint32_t bytes);
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "chervilmast/failure_tally.h"
 #include "chervilmast/feed_source.h"
 #include "chervilmast/item_log.h"
 #include "chervilmast/suspect_list.h"
@@ -207,3 +208,54 @@
 	ck_assert_uint_eq(cm_suspect_list_read(&list, NOW_MS + 2000, tokens),
 			  CM_SUSPECT_LIST_MAX);
 }
+
+/* Failures of a server and their times, ms, and whether it fails at the last.
+ */
+static const struct {
+	const char *what;
+	uint32_t failures;
+	uint64_t apart_ms;
+	uint64_t after_ms;
+	uint32_t failing;
+} failures[] = {
+	{ "one", 1, 0, 0, 0 },
+	{ "two at once", 2, 0, 0, 0 },
+	{ "three at once", 3, 0, 0, 1 },
+	{ "three, a little later", 3, 0, 100, 0 },
+	{ "four in a second", 4, 300, 0, 1 },
+	{ "now and then", 100, 4000, 0, 0 },
+	{ "many, six seconds ago", 100, 100, 6000, 0 },
+	{ "many, four seconds ago", 100, 100, 4000, 1 },
+};
+
+TEST_TABLE(failures_of_all_nodes_add_up, failures)
+{
+	struct cm_failure_tally tally = { 0 };
+	uint32_t tokens[CM_FAILURE_TALLY_MAX];
+	const uint32_t token = 7;
+	uint64_t now_ms = NOW_MS;
+
+	for (uint32_t i = 0; i < failures[_i].failures; i++) {
+		now_ms += failures[_i].apart_ms;
+		cm_failure_tally_add(&tally, now_ms, &token, 1);
+	}
+	now_ms += failures[_i].after_ms;
+	ck_assert_uint_eq(cm_failure_tally_read(&tally, now_ms, tokens),
+			  failures[_i].failing);
+	if (failures[_i].failing)
+		ck_assert_uint_eq(tokens[0], token);
+}
+
+/* Those that fail most stay when there is no room. */
+TEST(tally_is_bounded)
+{
+	static struct cm_failure_tally tally;
+	uint32_t tokens[CM_FAILURE_TALLY_MAX];
+
+	for (uint32_t i = 0; i < 5; i++)
+		cm_failure_tally_add(&tally, NOW_MS, (uint32_t[]){ 7 }, 1);
+	for (uint32_t token = 100; token < 300; token++)
+		cm_failure_tally_add(&tally, NOW_MS, &token, 1);
+	ck_assert_uint_eq(cm_failure_tally_read(&tally, NOW_MS, tokens), 1);
+	ck_assert_uint_eq(tokens[0], 7);
+}
--- a/tests/unit/test_steer_failing.c
+++ b/tests/unit/test_steer_failing.c
@@ -87,3 +87,85 @@
 	server = cm_steer_servers_by_id(&steering.servers, verdict.server_id);
 	ck_assert_uint_gt(server->health.failed_per_mille, 0);
 }
+
+TEST(failures_are_told_once)
+{
+	uint32_t tokens[CM_STEER_FAILURES_MAX];
+
+	steering_ready(SERVERS);
+	play(20, SERVERS);
+	ck_assert_uint_eq(cm_steer_take_failures(&steering, tokens), 20);
+	ck_assert_uint_eq(cm_steer_take_failures(&steering, tokens), 0);
+	play(CM_STEER_FAILURES_MAX + 10, SERVERS);
+	ck_assert_uint_eq(cm_steer_take_failures(&steering, tokens),
+			  CM_STEER_FAILURES_MAX);
+}
+
+/* The word of others holds for a second, and not against what was seen here. */
+TEST(server_that_fails_elsewhere_is_spared)
+{
+	uint32_t token = cm_steer_token(1, 0);
+
+	steering_ready(SERVERS);
+	for (int i = 0; i < 100; i++) {
+		cm_steer_warn(&steering, steering_ms, &token, 1);
+		play(1, 0);
+		ck_assert_uint_eq(got[1], 0);
+	}
+	steering_pass(1000);
+	play(SERVERS * 2, 0);
+	ck_assert_uint_gt(got[1], 0);
+	cm_steer_warn(&steering, steering_ms, &token, 1);
+	play(SERVERS * 2, 0);
+	ck_assert_uint_gt(got[1], 0);
+}
+
+TEST(most_servers_are_never_spared_at_once)
+{
+	uint32_t tokens[2];
+
+	steering_ready(SERVERS);
+	tokens[0] = cm_steer_token(1, 0);
+	tokens[1] = cm_steer_token(2, 0);
+	for (uint64_t id = 1; id <= SERVERS; id++)
+		cm_steer_remove_server(&steering, steering_ms, 100 + id);
+	cm_steer_warn(&steering, steering_ms, tokens, 2);
+	play(SERVERS * 2, 0);
+	ck_assert_uint_gt(got[1] + got[2], 0);
+}
+
+/* Flows in which nothing comes any more, and whether that is a failure. */
+static const struct {
+	const char *what;
+	bool asked;
+	uint32_t bytes;
+	bool paused;
+	uint64_t failed;
+} silences[] = {
+	{ "asked, no answer", true, 0, false, 1 },
+	{ "asked, an answer", true, STEERING_ANSWER, false, 0 },
+	{ "kept open before the request", false, 0, false, 0 },
+	{ "the node stood still", true, 0, true, 0 },
+};
+
+TEST_TABLE(server_that_never_answers_fails, silences)
+{
+	struct cm_steer_verdict verdict;
+
+	steering_ready(SERVERS);
+	verdict = steering_syn(1, 0);
+	steering_packet(1, verdict.token, CM_STEER_ACK);
+	if (silences[_i].asked)
+		steering_data(1, verdict.token, 0);
+	if (silences[_i].bytes)
+		steering_data(1, verdict.token, silences[_i].bytes);
+	if (silences[_i].paused) {
+		steering_ms += 2000;
+		cm_steer_tick(&steering, steering_ms);
+	} else {
+		steering_pass(2000);
+	}
+	ck_assert_uint_eq(steering.flows.count, 0);
+	ck_assert_uint_eq(steering_count(CM_C_STEER_FLOW_FAILED),
+			  silences[_i].failed);
+}
