--- a/tests/process/caller.c
+++ b/tests/process/caller.c
@@ -33,6 +33,7 @@
  * @attempt_ms: when the present one began, or is to begin
  * @resend_ms: when its data are sent again
  * @pause_ms: pause until then
+ * @flow_pause_ms: pause in its open flow
  * @state: where it stands
  * @request: its number
  * @domain: failure domain of the caller
@@ -42,7 +43,6 @@
  * @server_seq: of the server
  * @echo: last token that came
  * @port: its port
- * @flow_pause_ms: pause in its open flow
  * @is_idempotent: it may be run more than once
  */
 struct call {
@@ -50,6 +50,7 @@
 	uint64_t attempt_ms;
 	uint64_t resend_ms;
 	uint64_t pause_ms;
+	uint64_t flow_pause_ms;
 	enum state state;
 	uint32_t request;
 	int domain;
@@ -59,7 +60,6 @@
 	uint32_t server_seq;
 	uint32_t echo;
 	uint16_t port;
-	uint64_t flow_pause_ms;
 	bool is_idempotent;
 };
 
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -213,19 +213,19 @@
  */
 static const struct {
 	const char *what;
-	uint32_t failures;
 	uint64_t apart_ms;
 	uint64_t after_ms;
+	uint32_t failures;
 	uint32_t failing;
 } failures[] = {
-	{ "one", 1, 0, 0, 0 },
-	{ "two at once", 2, 0, 0, 0 },
-	{ "three at once", 3, 0, 0, 1 },
-	{ "three, a little later", 3, 0, 100, 0 },
-	{ "four in a second", 4, 300, 0, 1 },
-	{ "now and then", 100, 4000, 0, 0 },
-	{ "many, six seconds ago", 100, 100, 6000, 0 },
-	{ "many, four seconds ago", 100, 100, 4000, 1 },
+	{ "one", 0, 0, 1, 0 },
+	{ "two at once", 0, 0, 2, 0 },
+	{ "three at once", 0, 0, 3, 1 },
+	{ "three, a little later", 0, 100, 3, 0 },
+	{ "four in a second", 300, 0, 4, 1 },
+	{ "now and then", 4000, 0, 100, 0 },
+	{ "many, six seconds ago", 100, 6000, 100, 0 },
+	{ "many, four seconds ago", 100, 4000, 100, 1 },
 };
 
 TEST_TABLE(failures_of_all_nodes_add_up, failures)
--- a/tests/unit/test_steer_failing.c
+++ b/tests/unit/test_steer_failing.c
@@ -137,15 +137,15 @@
 /* Flows in which nothing comes any more, and whether that is a failure. */
 static const struct {
 	const char *what;
-	bool asked;
+	uint64_t failed;
 	uint32_t bytes;
+	bool asked;
 	bool paused;
-	uint64_t failed;
 } silences[] = {
-	{ "asked, no answer", true, 0, false, 1 },
-	{ "asked, an answer", true, STEERING_ANSWER, false, 0 },
-	{ "kept open before the request", false, 0, false, 0 },
-	{ "the node stood still", true, 0, true, 0 },
+	{ "asked, no answer", 1, 0, true, false },
+	{ "asked, an answer", 0, STEERING_ANSWER, true, false },
+	{ "kept open before the request", 0, 0, false, false },
+	{ "the node stood still", 0, 0, true, true },
 };
 
 TEST_TABLE(server_that_never_answers_fails, silences)
