Leave a source that lost the store at once, and search quickly

Followers passed over a source when its word was 4.4 s old and stayed so for 0.6 s, then asked the next one 0.44 s later, which had passed over the first as late.

Ruled out: the store (others heard of version 6 within 0.4 s), a silent link.

Change: an instance whose last call to the store failed says so; such a source is passed over at once, and the pause before the next question ends then. Up to eight are passed over in place of two (a third of the machines may have lost the store). Until a source has answered well it is asked each 120 ms. The first call to the store after a pause or a failure waits 20 ms only, so that a silent store shows; later ones wait 1.5 s at most. A source's word may be 1.2 s older than its wait. Failed calls are 150, 300, 600 ms apart. Followers of a source that lost the store keep entries that ran out meanwhile, as the source does. An answer of another instance than the one asked says nothing about it. The threads are woken at the end of the process, which took up to 1.1 s of the 0.7 s kept for it.

Tests: table of sources (lost: at once; old: after its patience), pauses that are woken before and during the wait, answers of others, the word of a lost registry. The two rows on old sources: the first now also asks on within the patience.

--- a/include/chervilmast/feed_source.h
+++ b/include/chervilmast/feed_source.h
@@ -3,9 +3,9 @@
  *
  * Each call to the registry costs, so one node of a failure domain asks it and
  * the others ask that node. A source that is silent, or knows less or older
- * things than a node may rely on, is passed over for a while: the next node in
- * the order that all share is asked then. A node that has passed over too many
- * asks the registry itself.
+ * things than a node may rely on, is passed over for a while, one that lost the
+ * registry at once: the next node in the order that all share is asked then.
+ * The first node that passes over all before it asks the registry itself.
  */
 #ifndef CHERVILMAST_FEED_SOURCE_H
 #define CHERVILMAST_FEED_SOURCE_H
@@ -19,8 +19,10 @@
 #define CM_FEED_PATIENCE_MS 600
 /** Time for which a source is passed over, ms. */
 #define CM_FEED_RETRY_MS 5000
+/** Age of the word of a source that lost the registry. */
+#define CM_FEED_LOST UINT64_MAX
 /** Most sources that are passed over at once. */
-#define CM_FEED_PASSED_MAX 2
+#define CM_FEED_PASSED_MAX 8
 
 /**
  * struct cm_feed_passed - a source that is passed over
@@ -38,12 +40,14 @@
  * @name: the source that was asked last; empty for none
  * @waiting_since_ms: when it began to wait for a good answer; 0 while it does
  *                    not wait
+ * @is_proven: it gave a good answer
  * @passed: sources that are passed over
  */
 struct cm_feed_source {
 	uint64_t age_max_ms;
 	char name[CM_NAME_SIZE];
 	uint64_t waiting_since_ms;
+	bool is_proven;
 	struct cm_feed_passed passed[CM_FEED_PASSED_MAX];
 };
 
@@ -80,12 +84,13 @@
 /**
  * cm_feed_source_answered() - the source answered
  * @feed: what was made of the sources
- * @age_ms: age of what it knows
+ * @now_ms: current time
+ * @age_ms: age of what it knows; CM_FEED_LOST when it lost the registry
  * @is_behind: it knows less than this node
  *
  * Return: true when the answer will do.
  */
-bool cm_feed_source_answered(struct cm_feed_source *feed, uint64_t age_ms,
-			     bool is_behind);
+bool cm_feed_source_answered(struct cm_feed_source *feed, uint64_t now_ms,
+			     uint64_t age_ms, bool is_behind);
 
 #endif
--- a/src/adapters/peer_tcp.c
+++ b/src/adapters/peer_tcp.c
@@ -361,6 +361,15 @@
 	return start_to_listen(peers);
 }
 
+void cm_peer_tcp_wake(struct cm_peer_tcp *peers)
+{
+	uint64_t one = 1;
+
+	/* It fails only when the thread is woken already. */
+	if (write(peers->wake, &one, sizeof(one)) < 0)
+		return;
+}
+
 void cm_peer_tcp_finish(struct cm_peer_tcp *peers)
 {
 	struct cm_peer_connection *connection, *following;
--- a/src/adapters/peer_tcp.h
+++ b/src/adapters/peer_tcp.h
@@ -70,6 +70,12 @@
 			    const struct cm_peers_handler *handler,
 			    struct cm_counters *counters);
 
+/**
+ * cm_peer_tcp_wake() - end the wait of the thread that runs the adapter
+ * @peers: the adapter
+ */
+void cm_peer_tcp_wake(struct cm_peer_tcp *peers);
+
 /**
  * cm_peer_tcp_finish() - close all
  * @peers: the peers; its memory stays the caller's
--- a/src/core/feed_source.c
+++ b/src/core/feed_source.c
@@ -49,6 +49,7 @@
 	memset(feed->name, 0, sizeof(feed->name));
 	memcpy(feed->name, name, strnlen(name, sizeof(feed->name) - 1));
 	feed->waiting_since_ms = now_ms;
+	feed->is_proven = false;
 }
 
 bool cm_feed_source_may_ask(struct cm_feed_source *feed, const char *name,
@@ -64,11 +65,14 @@
 	return false;
 }
 
-bool cm_feed_source_answered(struct cm_feed_source *feed, uint64_t age_ms,
-			     bool is_behind)
+bool cm_feed_source_answered(struct cm_feed_source *feed, uint64_t now_ms,
+			     uint64_t age_ms, bool is_behind)
 {
+	if (age_ms == CM_FEED_LOST && *feed->name)
+		pass_over(feed, now_ms);
 	if (is_behind || age_ms > feed->age_max_ms)
 		return false;
 	feed->waiting_since_ms = 0;
+	feed->is_proven = true;
 	return true;
 }
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -4,6 +4,7 @@
 
 #include "chervilmast/error.h"
 #include "feed_events.h"
+#include "condition.h"
 #include "ports/clock.h"
 
 /** Time for which items that went are kept, ms. */
@@ -20,6 +21,11 @@
 	cm_item_log_init(&feed->log);
 	cm_feed_source_init(&feed->source, age_max_ms);
 	feed->asked_ms = 0;
+	memset(&feed->asked, 0, sizeof(feed->asked));
+	cm_condition_init(&feed->turned);
+	feed->turns = 0;
+	feed->turns_seen = 0;
+	feed->is_lost = false;
 	memset(&feed->suspects, 0, sizeof(feed->suspects));
 	memset(&feed->failures, 0, sizeof(feed->failures));
 	feed->swept_ms = 0;
@@ -28,6 +34,7 @@
 void cm_feed_finish(struct cm_feed *feed)
 {
 	cm_item_log_finish(&feed->log);
+	pthread_cond_destroy(&feed->turned);
 	pthread_mutex_destroy(&feed->lock);
 }
 
@@ -130,6 +137,25 @@
 	return sink;
 }
 
+static void set_lost(struct cm_feed *feed, bool is_lost)
+{
+	pthread_mutex_lock(&feed->lock);
+	feed->is_lost = is_lost;
+	pthread_mutex_unlock(&feed->lock);
+}
+
+void cm_feed_heard(struct cm_feed *feed, uint64_t now_ms)
+{
+	set_lost(feed, false);
+	cm_steer_heard(feed->steer, now_ms);
+}
+
+void cm_feed_lost(struct cm_feed *feed)
+{
+	set_lost(feed, true);
+	cm_steer_lost(feed->steer);
+}
+
 bool cm_feed_source(struct cm_feed *feed, const char *self, uint64_t now_ms,
 		    struct cm_peer_entry *source)
 {
@@ -140,12 +166,36 @@
 		  cm_steer_source(feed->steer, self, now_ms, &feed->source,
 				  source) &&
 		  cm_feed_source_may_ask(&feed->source, source->name, now_ms);
-	if (may_ask)
+	if (may_ask) {
 		feed->asked_ms = now_ms;
+		feed->asked = source->control;
+	}
 	pthread_mutex_unlock(&feed->lock);
 	return may_ask;
 }
 
+bool cm_feed_is_searching(struct cm_feed *feed)
+{
+	bool is_searching;
+
+	pthread_mutex_lock(&feed->lock);
+	is_searching = !feed->source.is_proven;
+	pthread_mutex_unlock(&feed->lock);
+	return is_searching;
+}
+
+void cm_feed_pause(struct cm_feed *feed, uint32_t pause_ms)
+{
+	struct timespec end = cm_condition_end(pause_ms);
+
+	pthread_mutex_lock(&feed->lock);
+	while (feed->turns == feed->turns_seen &&
+	       !pthread_cond_timedwait(&feed->turned, &feed->lock, &end))
+		;
+	feed->turns_seen = feed->turns;
+	pthread_mutex_unlock(&feed->lock);
+}
+
 void cm_feed_request(struct cm_feed *feed,
 		     struct cm_message_items_request *request)
 {
@@ -177,8 +227,39 @@
 		cm_item_log_reached(&feed->log, items->revision);
 }
 
+static void end_pause(struct cm_feed *feed)
+{
+	feed->turns++;
+	pthread_cond_signal(&feed->turned);
+}
+
+void cm_feed_wake(struct cm_feed *feed)
+{
+	pthread_mutex_lock(&feed->lock);
+	end_pause(feed);
+	pthread_mutex_unlock(&feed->lock);
+}
+
+/* Return: whether what the source knows will do. */
+static bool judge_source(struct cm_feed *feed, uint64_t now_ms,
+			 const struct cm_endpoint *from,
+			 const struct cm_message_items *items, bool is_behind)
+{
+	bool is_good;
+
+	/* An answer that comes late is not of the one that is asked now. */
+	if (!cm_endpoint_equal(from, &feed->asked))
+		return !is_behind && items->age_ms <= feed->source.age_max_ms;
+	is_good = cm_feed_source_answered(&feed->source, now_ms, items->age_ms,
+					  is_behind);
+	if (!*feed->source.name)
+		end_pause(feed);
+	return is_good;
+}
+
 /* What the other instance knows is as old as its word of the registry. */
 void cm_feed_take(struct cm_feed *feed, uint64_t now_ms,
+		  const struct cm_endpoint *from,
 		  const struct cm_message_items *items)
 {
 	bool is_behind, is_good;
@@ -189,10 +270,13 @@
 				  now_ms - feed->asked_ms);
 	feed->asked_ms = 0;
 	is_behind = !items->revision || items->revision < feed->log.revision;
-	is_good = cm_feed_source_answered(&feed->source, items->age_ms,
-					  is_behind);
-	if (is_good && now_ms > items->age_ms)
+	is_good = judge_source(feed, now_ms, from, items, is_behind);
+	if (is_good && now_ms > items->age_ms) {
+		feed->is_lost = false;
 		cm_steer_heard(feed->steer, now_ms - items->age_ms);
+	}
+	if (items->age_ms == CM_FEED_LOST)
+		cm_steer_lost(feed->steer);
 	if (!is_behind)
 		take_items(feed, items);
 	pthread_mutex_unlock(&feed->lock);
@@ -291,6 +375,8 @@
 	pthread_mutex_lock(&feed->lock);
 	items->revision = feed->log.revision;
 	items->age_ms = now_ms > heard_ms ? now_ms - heard_ms : 0;
+	if (feed->is_lost)
+		items->age_ms = CM_FEED_LOST;
 	items->is_all = items->revision > after &&
 			!cm_item_log_can_tell(&feed->log, after);
 	if (items->revision > after)
--- a/src/daemon/peer_loop.c
+++ b/src/daemon/peer_loop.c
@@ -23,7 +23,8 @@
 	uint64_t now_ms = cm_clock_ms();
 
 	if (message->kind == CM_MESSAGE_ITEMS)
-		cm_feed_take(loop->feed, now_ms, &message->items);
+		cm_feed_take(loop->feed, now_ms, &message->control,
+			     &message->items);
 	if (message->kind != CM_MESSAGE_ITEMS_REQUEST)
 		return false;
 	cm_message_init(answer, CM_MESSAGE_ITEMS);
@@ -82,6 +83,7 @@
 void cm_peer_loop_finish(struct cm_peer_loop *loop)
 {
 	ck_pr_store_32(&loop->stopping, 1);
+	cm_peer_tcp_wake(&loop->peers);
 	pthread_join(loop->thread, NULL);
 	cm_peer_tcp_finish(&loop->peers);
 }
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -1,28 +1,32 @@
 #include "registry_loop.h"
 
 #include <ck_pr.h>
-#include <time.h>
 
 #include "chervilmast/error.h"
+#include "condition.h"
 #include "log.h"
 #include "ports/clock.h"
 
 /** Pause between answers of the registry, so that several events come in one,
  * ms. */
 #define PAUSE_MS 400
-/** Pause after a call that failed, ms. */
+/** Pause after a call that failed, ms; doubles each time... */
 #define RETRY_MS 150
+/** ...up to this. */
+#define RETRY_MAX_MS 600
 /** Time between questions to the source, ms... */
 #define ASK_MS 180
 /** ...and so much more for each other instance that asks it, ms. */
 #define ASK_EACH_MS 10
+/** Time between questions while no source has answered well, ms. */
+#define SEARCH_MS 120
 /** Time between renewals of the node's own entry, ms. */
 #define ANNOUNCE_MS (CM_REGISTRY_ENTRY_MS / 3)
 /** Time to the next try to renew it after one that failed, ms. */
 #define ANNOUNCE_RETRY_MS 1000
-#define MS_PER_S 1000
-#define NS_PER_MS 1000000
-#define NS_PER_S 1000000000
+/** Longest wait for changes in the first call after a pause or a failure, ms.
+ */
+#define FIRST_WAIT_MS 20
 
 static void note_answer(struct cm_registry_loop *loop, int error)
 {
@@ -30,9 +34,9 @@
 	bool reachable = !error || error == CM_E_COMPACTED;
 
 	if (!error)
-		cm_steer_heard(steer, cm_clock_ms());
+		cm_feed_heard(loop->feed, cm_clock_ms());
 	if (!reachable) {
-		cm_steer_lost(steer);
+		cm_feed_lost(loop->feed);
 		cm_counters_add(&steer->counters, CM_C_STORE_RETRIES);
 	}
 	if (reachable == loop->is_reachable)
@@ -76,8 +80,10 @@
 {
 	const struct cm_registry_sink sink = cm_feed_sink(loop->feed, false);
 	uint64_t begin_ms = cm_clock_ms();
-	int error = loop->registry->ops->wait(loop->registry, known,
-					      loop->wait_ms, &sink);
+	/* A registry that is silent must show at once. */
+	uint32_t wait_ms = loop->is_confirmed ? loop->wait_ms : FIRST_WAIT_MS;
+	int error = loop->registry->ops->wait(loop->registry, known, wait_ms,
+					      &sink);
 
 	time_call(loop, CM_H_STORE_WAIT, begin_ms);
 	return error;
@@ -134,26 +140,41 @@
 	pthread_mutex_unlock(&loop->lock);
 }
 
+static uint32_t next_retry_ms(struct cm_registry_loop *loop)
+{
+	uint32_t retry_ms = loop->retry_ms;
+
+	if (loop->retry_ms < RETRY_MAX_MS)
+		loop->retry_ms *= 2;
+	return retry_ms;
+}
+
 /* Return: pause until the next step, ms. */
 static uint32_t step_registry(struct cm_registry_loop *loop)
 {
 	int error = call_registry(loop);
 
 	note_answer(loop, error);
+	loop->is_confirmed = !error;
 	if (error)
 		ask_seed(loop);
 	note_tried(loop);
-	return error ? RETRY_MS : PAUSE_MS;
+	if (!error)
+		loop->retry_ms = RETRY_MS;
+	return error ? next_retry_ms(loop) : PAUSE_MS;
 }
 
 /* Asks the source; the answer comes by the thread of the peers. */
 static uint32_t step_source(struct cm_registry_loop *loop,
 			    const struct cm_peer_entry *source)
 {
+	loop->is_confirmed = false;
 	cm_counters_add(&loop->feed->steer->counters, CM_C_FEED_ASKED);
 	if (cm_peer_loop_ask(loop->peers, &source->control))
 		cm_counters_add(&loop->feed->steer->counters,
 				CM_C_FEED_NOT_ASKED);
+	if (cm_feed_is_searching(loop->feed))
+		return SEARCH_MS;
 	return ASK_MS + ASK_EACH_MS * cm_steer_peers_near(loop->feed->steer);
 }
 
@@ -172,7 +193,7 @@
 	if (cm_feed_revision(loop->feed) && loop->is_reachable)
 		announce(loop);
 	count_calls(loop);
-	cm_clock_sleep_ms(pause_ms);
+	cm_feed_pause(loop->feed, pause_ms);
 }
 
 static void *registry_thread(void *user)
@@ -186,14 +207,10 @@
 
 int cm_registry_loop_init(struct cm_registry_loop *loop)
 {
-	pthread_condattr_t monotonic;
-
 	loop->is_reachable = true;
+	loop->retry_ms = RETRY_MS;
 	pthread_mutex_init(&loop->lock, NULL);
-	pthread_condattr_init(&monotonic);
-	pthread_condattr_setclock(&monotonic, CLOCK_MONOTONIC);
-	pthread_cond_init(&loop->tried, &monotonic);
-	pthread_condattr_destroy(&monotonic);
+	cm_condition_init(&loop->tried);
 	if (pthread_create(&loop->thread, NULL, registry_thread, loop))
 		return CM_E_MEMORY;
 	return CM_OK;
@@ -202,15 +219,8 @@
 void cm_registry_loop_wait_first(struct cm_registry_loop *loop,
 				 uint32_t most_ms)
 {
-	struct timespec end;
+	struct timespec end = cm_condition_end(most_ms);
 
-	clock_gettime(CLOCK_MONOTONIC, &end);
-	end.tv_sec += most_ms / MS_PER_S;
-	end.tv_nsec += (long)(most_ms % MS_PER_S) * NS_PER_MS;
-	if (end.tv_nsec >= NS_PER_S) {
-		end.tv_sec++;
-		end.tv_nsec -= NS_PER_S;
-	}
 	pthread_mutex_lock(&loop->lock);
 	while (!loop->is_tried &&
 	       !pthread_cond_timedwait(&loop->tried, &loop->lock, &end))
@@ -222,5 +232,6 @@
 {
 	ck_pr_store_32(&loop->stopping, 1);
 	loop->registry->ops->interrupt(loop->registry);
+	cm_feed_wake(loop->feed);
 	pthread_join(loop->thread, NULL);
 }
--- a/src/daemon/registry_loop.h
+++ b/src/daemon/registry_loop.h
@@ -24,6 +24,8 @@
  * @wait_ms: longest wait for changes in one call
  * @announce_ms: when the node's entry is to be kept next
  * @is_reachable: the last call to the registry was answered
+ * @is_confirmed: the registry answered the call before
+ * @retry_ms: pause after the next call that fails
  * @next_seed: number of the seed to ask next
  * @counted: calls that were counted so far
  * @lock: guards @is_tried
@@ -40,6 +42,8 @@
 	uint32_t wait_ms;
 	uint64_t announce_ms;
 	bool is_reachable;
+	bool is_confirmed;
+	uint32_t retry_ms;
 	size_t next_seed;
 	uint64_t counted;
 	pthread_mutex_t lock;
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -18,8 +18,13 @@
 #include "steer_page.h"
 
 #define MS_PER_S 1000
-/** A wait for changes takes this part of the shortest bound. */
+/** A wait for changes takes this part of the shortest bound... */
 #define WAIT_PART 2
+/** ...and no longer than this, ms. */
+#define WAIT_MOST_MS 1500
+/** What an instance knows that asks the registry is at most so much older than
+ * its wait, ms. */
+#define AGE_EXTRA_MS 1200
 /** What another instance tells has to be so much newer than a bound, ms. */
 #define AGE_MARGIN_MS 600
 /** Part of a bound that is left for packets on their way, ms. */
@@ -99,6 +104,22 @@
 	return bound_ms;
 }
 
+static uint32_t wait_ms(const struct cm_steer_settings *settings)
+{
+	uint32_t part_ms = shortest_bound_ms(settings) / WAIT_PART;
+
+	return part_ms < WAIT_MOST_MS ? part_ms : WAIT_MOST_MS;
+}
+
+/* Oldest word of another instance that will do. */
+static uint32_t age_max_ms(const struct cm_steer_settings *settings)
+{
+	uint32_t bound_ms = shortest_bound_ms(settings) - AGE_MARGIN_MS;
+	uint32_t usual_ms = wait_ms(settings) + AGE_EXTRA_MS;
+
+	return usual_ms < bound_ms ? usual_ms : bound_ms;
+}
+
 static struct cm_steer_config
 steer_config(const struct cm_steer_settings *settings)
 {
@@ -138,8 +159,7 @@
 	entry->updates.peers = &entry->peers;
 	entry->updates.registry = &entry->registry.base;
 	entry->updates.settings = &entry->settings;
-	entry->updates.wait_ms =
-		shortest_bound_ms(&entry->settings) / WAIT_PART;
+	entry->updates.wait_ms = wait_ms(&entry->settings);
 	error = cm_registry_loop_init(&entry->updates);
 	if (error)
 		return error;
@@ -176,7 +196,7 @@
 	if (error)
 		return error;
 	cm_feed_init(&entry->feed, &entry->steer, registry->ops,
-		     shortest_bound_ms(&entry->settings) - AGE_MARGIN_MS);
+		     age_max_ms(&entry->settings));
 	error = start_peers(entry);
 	if (error) {
 		cm_feed_finish(&entry->feed);
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -113,10 +113,12 @@
 }
 
 /* Steps of a node that asks a source: time, what happens, what it may do. */
-enum step { ASK, GOOD, BEHIND, OLD };
+enum step { ASK, GOOD, BEHIND, OLD, LOST };
 
 static const struct {
 	const char *name;
+	/* Another one is asked although the first is not passed over. */
+	bool is_other;
 	struct {
 		uint64_t at_ms;
 		enum step step;
@@ -125,34 +127,63 @@
 	} steps[8];
 } runs[] = {
 	{ "a source that answers is asked on",
+	  false,
 	  { { 0, ASK, "a", true },
 	    { 10, GOOD, "a", true },
 	    { 5000, ASK, "a", true },
 	    { 5010, GOOD, "a", true },
 	    { 10000, ASK, "a", true } } },
 	{ "a silent one is passed over, and asked again later",
+	  false,
 	  { { 0, ASK, "a", true },
 	    { 400, ASK, "a", true },
 	    { 600, ASK, "a", false },
 	    { 5599, ASK, "b", true },
 	    { 5600, ASK, "a", true } } },
 	{ "one that knows less is as one that is silent",
+	  false,
 	  { { 0, ASK, "a", true },
 	    { 10, BEHIND, "a", true },
 	    { 300, ASK, "a", true },
 	    { 310, BEHIND, "a", true },
 	    { 600, ASK, "a", false } } },
 	{ "so is one that has not heard of the registry for long",
+	  false,
 	  { { 0, ASK, "a", true },
 	    { 10, OLD, "a", true },
-	    { 600, ASK, "a", false } } },
+	    { 200, ASK, "a", true },
+	    { 210, OLD, "a", true },
+	    { 600, ASK, "a", false },
+	    { 610, ASK, "b", true } } },
+	{ "one that lost the registry is passed over at once",
+	  false,
+	  { { 0, ASK, "a", true },
+	    { 10, LOST, "a", true },
+	    { 11, ASK, "b", true },
+	    { 20, GOOD, "b", true },
+	    { 5009, ASK, "b", true },
+	    { 5010, ASK, "a", true } } },
 	{ "another one gets a patience of its own",
+	  true,
 	  { { 0, ASK, "a", true },
 	    { 500, ASK, "b", true },
 	    { 1000, ASK, "b", true },
 	    { 1100, ASK, "b", false } } },
 };
 
+static void answer(struct cm_feed_source *feed, uint64_t now_ms, enum step step)
+{
+	static const uint64_t ages_ms[] = {
+		[GOOD] = 100,
+		[BEHIND] = 100,
+		[OLD] = AGE_MAX_MS + 1,
+		[LOST] = CM_FEED_LOST,
+	};
+
+	cm_feed_source_answered(feed, now_ms, ages_ms[step], step == BEHIND);
+}
+
+/* Sources that are passed over are not asked; the next one is, if it may be. */
 TEST_TABLE(source_is_chosen, runs)
 {
 	struct cm_feed_source feed;
@@ -164,11 +195,13 @@
 		const char *source = runs[_i].steps[i].source;
 
 		if (step != ASK) {
-			cm_feed_source_answered(
-				&feed, step == OLD ? AGE_MAX_MS + 1 : 100,
-				step == BEHIND);
+			answer(&feed, now_ms, step);
 			continue;
 		}
+		if (!strcmp(source, "b"))
+			ck_assert(
+				cm_feed_source_is_passed(&feed, "a", now_ms) ||
+				runs[_i].is_other);
 		ck_assert_msg(cm_feed_source_may_ask(&feed, source, now_ms) ==
 				      runs[_i].steps[i].may_ask,
 			      "%s: step %d", runs[_i].name, i);
--- /dev/null
+++ b/tests/unit/test_feed_pause.c
@@ -0,0 +1,121 @@
+#include "unit/suites.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "chervilmast/error.h"
+#include "daemon/feed.h"
+
+/** Longer than the suite may take: only a wake ends such a wait. */
+#define FOR_EVER_MS 3600000
+
+static struct cm_steer steer;
+static struct cm_feed feed;
+static const struct cm_endpoint source_address = { 0x7f000001, 9, 6 };
+
+static void setup(void)
+{
+	const struct cm_steer_config config = { .domain = "a",
+						.flows_max = 1,
+						.lapse_ms = 1 };
+	static const struct cm_registry_ops ops;
+
+	cm_steer_init(&steer, &config);
+	cm_feed_init(&feed, &steer, &ops, 1000);
+}
+
+static void teardown(void)
+{
+	cm_feed_finish(&feed);
+	cm_steer_finish(&steer);
+}
+
+UNIT_CASE("feed", "pause", setup, teardown, UNIT_TIMEOUT_S);
+
+static void *pause_for_ever(void *user)
+{
+	(void)user;
+	cm_feed_pause(&feed, FOR_EVER_MS);
+	return NULL;
+}
+
+static void ask_source(void)
+{
+	struct cm_peer_entry entry = { .name = "a-1",
+				       .domain = "a",
+				       .control = source_address };
+	struct cm_peer_entry source;
+
+	ASSERT_OK(cm_steer_put_peer(&steer, &entry));
+	feed.log.revision = 1;
+	ck_assert(cm_feed_source(&feed, "a-2", 1, &source));
+}
+
+static void answer(const struct cm_endpoint *from, uint64_t age_ms)
+{
+	const struct cm_message_items items = { .revision = 1,
+						.age_ms = age_ms };
+
+	cm_feed_take(&feed, 2, from, &items);
+}
+
+/* Whether it comes during the wait or before makes no difference. */
+TEST(pause_ends_when_it_is_woken)
+{
+	pthread_t thread;
+
+	pthread_create(&thread, NULL, pause_for_ever, NULL);
+	cm_feed_wake(&feed);
+	pthread_join(thread, NULL);
+	cm_feed_wake(&feed);
+	cm_feed_pause(&feed, FOR_EVER_MS);
+}
+
+TEST(pause_ends_when_the_source_lost_the_registry)
+{
+	ask_source();
+	answer(&source_address, CM_FEED_LOST);
+	cm_feed_pause(&feed, FOR_EVER_MS);
+	ck_assert(cm_feed_source_is_passed(&feed.source, "a-1", 2));
+}
+
+/* It may be of an instance that was passed over before. */
+TEST(answer_of_another_instance_passes_no_source_over)
+{
+	const struct cm_endpoint other = { 0x7f000001, 10, 6 };
+
+	ask_source();
+	answer(&other, CM_FEED_LOST);
+	ck_assert(!cm_feed_source_is_passed(&feed.source, "a-1", 2));
+	cm_feed_pause(&feed, 1);
+}
+
+/* Others must not rely on what this instance last heard. */
+TEST(lost_registry_is_told)
+{
+	const struct cm_message_items_request request = { .after = 1 };
+	struct cm_message_items items = { 0 };
+
+	feed.log.revision = 1;
+	cm_feed_heard(&feed, 100);
+	ASSERT_OK(cm_feed_answer(&feed, 150, &request, &items));
+	ck_assert_uint_eq(items.age_ms, 50);
+	cm_feed_lost(&feed);
+	ASSERT_OK(cm_feed_answer(&feed, 150, &request, &items));
+	ck_assert_uint_eq(items.age_ms, CM_FEED_LOST);
+	cm_feed_heard(&feed, 150);
+	ASSERT_OK(cm_feed_answer(&feed, 150, &request, &items));
+	ck_assert_uint_eq(items.age_ms, 0);
+}
+
+/* Entries that ran out meanwhile are kept for a while, here as at the source. */
+TEST(lost_registry_of_the_source_is_an_outage)
+{
+	ask_source();
+	ck_assert(!steer.is_away);
+	answer(&source_address, CM_FEED_LOST);
+	ck_assert(steer.is_away);
+	answer(&source_address, 0);
+	ck_assert(!steer.is_away);
+	ck_assert_uint_eq(steer.returned_ms, 2);
+}
