--- a/include/chervilmast/message.h
+++ b/include/chervilmast/message.h
@@ -236,8 +236,8 @@
 /**
  * struct cm_message_items - body of ITEMS
  * @revision: revision up to which the sender knows the registry; 0 for nothing
- * @age_ms: time since the sender last heard of the registry; CM_FEED_LOST when it
- *          lost it
+ * @age_ms: time since the sender last heard of the registry; CM_FEED_LOST when
+ * it lost it
  * @is_all: the items are all that there are, not only what changed
  * @items: the items; owned
  * @count: number of @items
--- a/tests/process/scenario.c
+++ b/tests/process/scenario.c
@@ -36,11 +36,13 @@
 
 	(void)store;
 	run(FLOOD_MS, FLOOD_PER_S);
-	packets = instance_metric(BLOCKED_INSTANCE, "packets_from_fabric_total");
+	packets =
+		instance_metric(BLOCKED_INSTANCE, "packets_from_fabric_total");
 	if (!instance_metric(BLOCKED_INSTANCE, "log_lines_left_out"))
 		violation("no line was left out: the log was not blocked");
 	run(MS_PER_S, FLOOD_PER_S);
-	if (instance_metric(BLOCKED_INSTANCE, "packets_from_fabric_total") == packets)
+	if (instance_metric(BLOCKED_INSTANCE, "packets_from_fabric_total") ==
+	    packets)
 		violation("no packet came to the instance with the full pipe");
 	if (callers_result().failed)
 		violation("%u requests failed", callers_result().failed);
--- a/tests/unit/test_feed_pause.c
+++ b/tests/unit/test_feed_pause.c
@@ -108,7 +108,8 @@
 	ck_assert_uint_eq(items.age_ms, 0);
 }
 
-/* Entries that ran out meanwhile are kept for a while, here as at the source. */
+/* Entries that ran out meanwhile are kept for a while, here as at the source.
+ */
 TEST(lost_registry_of_the_source_is_an_outage)
 {
 	ask_source();
