--- a/examples/embed_steer.c
+++ b/examples/embed_steer.c
@@ -29,8 +29,9 @@
 
 	if (error)
 		return error;
-	cm_steer_plan_add_route(&plan, &route);
-	error = cm_steer_plan_seal(&plan);
+	error = cm_steer_plan_add_route(&plan, &route);
+	if (!error)
+		error = cm_steer_plan_seal(&plan);
 	if (!error)
 		error = cm_steer_set_plan(steer, &plan);
 	return error;
--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -197,6 +197,10 @@
 	  "questions to the instance that is asked about the registry")          \
 	X(FEED_NOT_ASKED, "feed_not_asked",                                      \
 	  "of these, questions that could not be sent")                          \
+	X(FEED_BAD_PART, "feed_bad_part",                                        \
+	  "parts of a snapshot that came out of their order")                    \
+	X(REGISTRY_ITEMS, "registry_items",                                      \
+	  "items of the registry that changed and were applied")                 \
 	X(REGISTRY_BAD_ITEM, "registry_bad_item",                                \
 	  "items of the registry that could not be used")                        \
 	X(REGISTRY_SNAPSHOTS, "registry_snapshots",                              \
--- a/include/chervilmast/feed_source.h
+++ b/include/chervilmast/feed_source.h
@@ -21,6 +21,8 @@
 #define CM_FEED_RETRY_MS 5000
 /** Age of the word of a source that lost the registry. */
 #define CM_FEED_LOST UINT64_MAX
+/** Age of the word of a source in graceful shutdown. */
+#define CM_FEED_LEAVES (UINT64_MAX - 1)
 /** Most sources that are passed over at once. */
 #define CM_FEED_PASSED_MAX 8
 
@@ -85,7 +87,7 @@
  * cm_feed_source_answered() - the source answered
  * @feed: what was made of the sources
  * @now_ms: current time
- * @age_ms: age of what it knows; CM_FEED_LOST when it lost the registry
+ * @age_ms: age of what it knows, CM_FEED_LOST or CM_FEED_LEAVES
  * @is_behind: it knows less than this node
  *
  * Return: true when the answer will do.
--- a/include/chervilmast/item_log.h
+++ b/include/chervilmast/item_log.h
@@ -5,7 +5,8 @@
  * each. From it a node tells another one what has changed since any revision,
  * so that few nodes have to ask the registry. Items that went are kept for a
  * while, since their going has to be told too. Revisions never go back: what is
- * older than the copy is refused.
+ * older than the copy is refused. An item that is written as it was keeps its
+ * revision: nobody has to be told.
  */
 #ifndef CHERVILMAST_ITEM_LOG_H
 #define CHERVILMAST_ITEM_LOG_H
@@ -16,7 +17,7 @@
 #include <sys/queue.h>
 
 /** Hash buckets of a copy; a power of two. */
-#define CM_ITEM_BUCKETS 1024
+#define CM_ITEM_BUCKETS 4096
 
 /**
  * struct cm_item - an item of the registry
@@ -48,16 +49,20 @@
 /**
  * struct cm_item_log - a copy of the registry
  * @buckets: the items by their keys
- * @all: the items, the one that changed last at the end
+ * @all: the items by revision; those of one revision as they came
+ * @count: number of @all
  * @revision: all changes up to this revision are in the copy; 0 at first
  * @complete_since: changes after this revision can be told one by one; before
  *                  it, an item may have gone without a trace
+ * @in_snapshot: a snapshot is being put; @all may be out of order
  */
 struct cm_item_log {
 	struct cm_item_bucket buckets[CM_ITEM_BUCKETS];
 	struct cm_item_list all;
+	uint32_t count;
 	uint64_t revision;
 	uint64_t complete_since;
+	bool in_snapshot;
 };
 
 /** Called for an item that changed; it is valid until the call returns. */
@@ -75,6 +80,16 @@
  */
 void cm_item_log_finish(struct cm_item_log *log);
 
+/**
+ * cm_item_log_find() - look for an item
+ * @log: the copy
+ * @key: its key
+ *
+ * Return: the item, which may have gone, or NULL.
+ */
+const struct cm_item *cm_item_log_find(const struct cm_item_log *log,
+				       const char *key);
+
 /**
  * cm_item_log_put() - an item was written
  * @log: the copy
@@ -83,8 +98,8 @@
  * @size: bytes of @value
  * @revision: revision of the registry at that
  *
- * Return: the item; NULL when a change as late as this one is known, or without
- * memory.
+ * Return: the item; NULL when a change as late as this one is known, when the
+ * value is what it was, or without memory.
  */
 const struct cm_item *cm_item_log_put(struct cm_item_log *log, const char *key,
 				      const char *value, size_t size,
@@ -110,6 +125,13 @@
  */
 void cm_item_log_begin(struct cm_item_log *log);
 
+/**
+ * cm_item_log_keep() - the snapshot has an item as it is
+ * @log: the copy
+ * @key: its key; need not be there
+ */
+void cm_item_log_keep(struct cm_item_log *log, const char *key);
+
 /**
  * cm_item_log_end() - all items were put: the others have gone
  * @log: the copy
@@ -140,14 +162,18 @@
 bool cm_item_log_can_tell(const struct cm_item_log *log, uint64_t revision);
 
 /**
- * cm_item_log_tell() - tell what changed
- * @log: the copy
+ * cm_item_log_tell() - tell what changed, or a part of it
+ * @log: the copy; not in a snapshot
  * @after: changes after this revision; 0 for all items that are there
+ * @most: items after which a part ends; all items of a revision are in one part
  * @handler: called for each item
  * @user: for @handler
+ *
+ * Return: revision up to which all was told: that of the copy, or an earlier
+ * one after which the next part begins.
  */
-void cm_item_log_tell(const struct cm_item_log *log, uint64_t after,
-		      cm_item_handler handler, void *user);
+uint64_t cm_item_log_tell(const struct cm_item_log *log, uint64_t after,
+			  uint32_t most, cm_item_handler handler, void *user);
 
 /**
  * cm_item_log_sweep() - forget items that went long ago
--- a/include/chervilmast/message.h
+++ b/include/chervilmast/message.h
@@ -14,7 +14,7 @@
 #include "chervilmast/member.h"
 
 /** Most items of an array in one message. */
-#define CM_MESSAGE_ITEMS_MAX 4096
+#define CM_MESSAGE_ITEMS_MAX 16384
 /** Most bytes of one published note in a message. */
 #define CM_MESSAGE_NOTE_MAX (1024 * 1024)
 
@@ -207,12 +207,18 @@
 
 /**
  * struct cm_message_items_request - body of ITEMS_REQUEST
- * @after: revision up to which the sender knows the registry; 0 for nothing
+ * @name: name of the sender
+ * @after: revision up to which the sender knows the registry, or has the
+ *         snapshot that it is being given; 0 for nothing
+ * @snapshot_of: incarnation of the instance that gives it a snapshot; 0 for
+ * none
  * @suspects: servers that the sender suspects by what it saw itself
  * @failures: server of each flow that it saw fail since the last question
  */
 struct cm_message_items_request {
+	char name[CM_NAME_SIZE];
 	uint64_t after;
+	uint64_t snapshot_of;
 	struct cm_message_tokens suspects;
 	struct cm_message_tokens failures;
 };
@@ -235,19 +241,25 @@
 
 /**
  * struct cm_message_items - body of ITEMS
- * @revision: revision up to which the sender knows the registry; 0 for nothing
- * @age_ms: time since the sender last heard of the registry; CM_FEED_LOST when
- * it lost it
- * @is_all: the items are all that there are, not only what changed
+ * @after: revision up to which the receiver must know the registry, or have the
+ *         snapshot
+ * @revision: revision up to which it knows the registry, or has the snapshot,
+ *            with these items; 0 while the sender knows nothing
+ * @age_ms: time since the sender last heard of the registry, CM_FEED_LOST or
+ *          CM_FEED_LEAVES
+ * @is_all: a snapshot begins with these items
+ * @has_more: another part follows when it is asked for
  * @items: the items; owned
  * @count: number of @items
  * @suspects: servers that instances of the sender's domain suspect
  * @failing: servers whose flows fail again and again there
  */
 struct cm_message_items {
+	uint64_t after;
 	uint64_t revision;
 	uint64_t age_ms;
 	bool is_all;
+	bool has_more;
 	struct cm_message_item *items;
 	uint32_t count;
 	struct cm_message_tokens suspects;
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -221,6 +221,14 @@
  */
 void cm_steer_tick(struct cm_steer *steer, uint64_t now_ms);
 
+/**
+ * cm_steer_can_place() - whether new flows can be placed
+ * @steer: the node
+ *
+ * Return: true when a plan and a server are known.
+ */
+bool cm_steer_can_place(struct cm_steer *steer);
+
 /**
  * cm_steer_set_plan() - put a plan in force
  * @steer: the node
@@ -262,13 +270,11 @@
 		      const struct cm_peer_entry *entry);
 
 /**
- * cm_steer_remove_peer() - the registry's entry of a node went
+ * cm_steer_remove_peer() - a node has left the fleet
  * @steer: the node
- * @now_ms: current time
  * @name: name of the other node
  */
-void cm_steer_remove_peer(struct cm_steer *steer, uint64_t now_ms,
-			  const char *name);
+void cm_steer_remove_peer(struct cm_steer *steer, const char *name);
 
 /**
  * cm_steer_set_domain_out() - take a failure domain out, or back
@@ -327,6 +333,26 @@
  */
 uint32_t cm_steer_peers_near(struct cm_steer *steer);
 
+/**
+ * cm_steer_list_peers() - nodes of a failure domain
+ * @steer: the node
+ * @domain: name of the failure domain
+ * @entries: set
+ * @most: room in @entries
+ *
+ * Return: number of @entries.
+ */
+uint32_t cm_steer_list_peers(struct cm_steer *steer, const char *domain,
+			     struct cm_peer_entry *entries, uint32_t most);
+
+/**
+ * cm_steer_is_leaving() - whether a graceful shutdown has begun
+ * @steer: the node
+ *
+ * Return: true after cm_steer_leave().
+ */
+bool cm_steer_is_leaving(struct cm_steer *steer);
+
 /**
  * cm_steer_leave() - begin a graceful shutdown
  * @steer: the node
--- a/include/chervilmast/steer_peer.h
+++ b/include/chervilmast/steer_peer.h
@@ -23,24 +23,24 @@
  * @name: its name
  * @domain: its failure domain
  * @control: where it answers other nodes
+ * @rank: the node of the lowest rank in a failure domain is asked first
  */
 struct cm_peer_entry {
 	char name[CM_NAME_SIZE];
 	char domain[CM_NAME_SIZE];
 	struct cm_endpoint control;
+	uint64_t rank;
 };
 
 /**
  * struct cm_steer_peer - a node
  * @entry: what the registry said last
  * @domain_hash: hash of the name of its failure domain
- * @is_lapsed: its entry went while the registry could not be reached
  * @link: link in the list of all
  */
 struct cm_steer_peer {
 	struct cm_peer_entry entry;
 	uint64_t domain_hash;
-	bool is_lapsed;
 	TAILQ_ENTRY(cm_steer_peer) link;
 };
 
--- a/include/chervilmast/steer_plan.h
+++ b/include/chervilmast/steer_plan.h
@@ -39,6 +39,36 @@
 	struct cm_route_target targets[CM_ROUTE_TARGETS_MAX];
 };
 
+/**
+ * struct cm_plan_route - a public address within a plan
+ * @address: where callers send to
+ * @target_count: number of services that it leads to
+ * @first_target: the first of them among the plan's targets
+ */
+struct cm_plan_route {
+	struct cm_endpoint address;
+	uint32_t target_count;
+	uint32_t first_target;
+};
+
+/**
+ * struct cm_plan_target - a service that a route of a plan leads to
+ * @name: number of the service's name among the plan's names
+ * @weight: its share of the route's flows
+ */
+struct cm_plan_target {
+	uint32_t name;
+	uint32_t weight;
+};
+
+/**
+ * struct cm_plan_name - name of a service that routes lead to
+ * @text: the name
+ */
+struct cm_plan_name {
+	char text[CM_NAME_SIZE];
+};
+
 /**
  * struct cm_steer_service - a service
  * @name: its name
@@ -55,13 +85,25 @@
  * @version: grows from plan to plan
  * @routes: the routes, by address once sealed
  * @route_count: number of @routes
+ * @targets: the targets of all routes
+ * @target_count: number of @targets
+ * @target_room: targets that there is room for
+ * @names: names of the targets' services, each of them once
+ * @name_count: number of @names
+ * @name_room: names that there is room for
  * @services: the services, by name once sealed
  * @service_count: number of @services
  */
 struct cm_steer_plan {
 	uint64_t version;
-	struct cm_steer_route *routes;
+	struct cm_plan_route *routes;
 	size_t route_count;
+	struct cm_plan_target *targets;
+	size_t target_count;
+	size_t target_room;
+	struct cm_plan_name *names;
+	size_t name_count;
+	size_t name_room;
 	struct cm_steer_service *services;
 	size_t service_count;
 };
@@ -88,9 +130,11 @@
  * cm_steer_plan_add_route() - add a route to a plan that is being built
  * @plan: the plan, with room left
  * @route: the route; copied
+ *
+ * Return: 0 or CM_E_MEMORY.
  */
-void cm_steer_plan_add_route(struct cm_steer_plan *plan,
-			     const struct cm_steer_route *route);
+int cm_steer_plan_add_route(struct cm_steer_plan *plan,
+			    const struct cm_steer_route *route);
 
 /**
  * cm_steer_plan_add_service() - add a service to a plan that is being built
@@ -104,8 +148,8 @@
  * cm_steer_plan_seal() - end the building of a plan
  * @plan: the plan
  *
- * Return: 0, CM_E_SAME_ENDPOINT when two routes share an address, or
- * CM_E_REPEATED when two services share a name.
+ * Return: 0, CM_E_SAME_ENDPOINT when two routes share an address,
+ * CM_E_REPEATED when two services share a name, or CM_E_MEMORY.
  */
 int cm_steer_plan_seal(struct cm_steer_plan *plan);
 
@@ -116,7 +160,7 @@
  *
  * Return: the route, or NULL when there is none.
  */
-const struct cm_steer_route *
+const struct cm_plan_route *
 cm_steer_plan_route(const struct cm_steer_plan *plan,
 		    const struct cm_endpoint *address);
 
@@ -131,13 +175,15 @@
 cm_steer_plan_service(const struct cm_steer_plan *plan, const char *name);
 
 /**
- * cm_steer_route_service() - the service that takes a flow
- * @route: its route
+ * cm_steer_plan_target() - the service that takes a flow
+ * @plan: a sealed plan
+ * @route: route of the flow
  * @hash: hash of the flow; its repeated SYNs come to the same service
  *
  * Return: name of the service, or NULL when every weight is 0.
  */
-const char *cm_steer_route_service(const struct cm_steer_route *route,
-				   uint64_t hash);
+const char *cm_steer_plan_target(const struct cm_steer_plan *plan,
+				 const struct cm_plan_route *route,
+				 uint64_t hash);
 
 #endif
--- a/src/adapters/message_items.c
+++ b/src/adapters/message_items.c
@@ -21,7 +21,10 @@
 	struct cm_reader reader =
 		cm_reader_struct(outer, CM_ITEMS_REQUEST_FIELDS);
 
+	cm_reader_text(&reader, message->items_request.name);
 	message->items_request.after = cm_reader_number(&reader, UINT64_MAX);
+	message->items_request.snapshot_of =
+		cm_reader_number(&reader, UINT64_MAX);
 	get_tokens(&reader, &message->items_request.suspects);
 	get_tokens(&reader, &message->items_request.failures);
 }
@@ -54,9 +57,11 @@
 	struct cm_reader list;
 	int error;
 
+	body->after = cm_reader_number(&reader, UINT64_MAX);
 	body->revision = cm_reader_number(&reader, UINT64_MAX);
 	body->age_ms = cm_reader_number(&reader, UINT64_MAX);
 	body->is_all = cm_reader_number(&reader, 1);
+	body->has_more = cm_reader_number(&reader, 1);
 	list = cm_reader_array(&reader, CM_MESSAGE_ITEMS_MAX);
 	if (*reader.error)
 		return;
--- a/src/adapters/message_msgpack.c
+++ b/src/adapters/message_msgpack.c
@@ -170,7 +170,9 @@
 			      const struct cm_message *message)
 {
 	msgpack_pack_array(packer, CM_ITEMS_REQUEST_FIELDS);
+	put_text(packer, message->items_request.name);
 	msgpack_pack_uint64(packer, message->items_request.after);
+	msgpack_pack_uint64(packer, message->items_request.snapshot_of);
 	put_tokens(packer, &message->items_request.suspects);
 	put_tokens(packer, &message->items_request.failures);
 }
@@ -180,9 +182,11 @@
 	const struct cm_message_items *body = &message->items;
 
 	msgpack_pack_array(packer, CM_ITEMS_FIELDS);
+	msgpack_pack_uint64(packer, body->after);
 	msgpack_pack_uint64(packer, body->revision);
 	msgpack_pack_uint64(packer, body->age_ms);
 	msgpack_pack_uint64(packer, body->is_all);
+	msgpack_pack_uint64(packer, body->has_more);
 	msgpack_pack_array(packer, body->count);
 	for (uint32_t i = 0; i < body->count; i++) {
 		const struct cm_message_item *item = &body->items[i];
--- a/src/adapters/peer_tcp.h
+++ b/src/adapters/peer_tcp.h
@@ -14,7 +14,7 @@
 #include "ports/peers.h"
 
 /** Most connections at once. */
-#define CM_PEER_CONNECTIONS_MAX 128
+#define CM_PEER_CONNECTIONS_MAX 512
 
 /**
  * struct cm_peer_tcp - the other instances over TCP
--- /dev/null
+++ b/src/adapters/plan_items.c
@@ -0,0 +1,305 @@
+#include "plan_items.h"
+
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chervilmast/error.h"
+#include "item_value.h"
+
+#define VERSION_KEY "p/version"
+#define SERVICES_KEY "p/services"
+#define ROUTES_KEY "p/routes/"
+#define KEY_SIZE 16
+
+/* Items of each msgpack array. */
+#define ROUTE_FIELDS 2
+#define TARGET_FIELDS 2
+#define SERVICE_FIELDS 2
+#define VERSION_FIELDS 1
+
+#define PORT_MAX 65535
+
+static void routes_key(char *key, uint32_t part)
+{
+	snprintf(key, KEY_SIZE, ROUTES_KEY "%u", part % CM_PLAN_PARTS);
+}
+
+static uint32_t part_of(const struct cm_endpoint *address)
+{
+	return cm_hash_mix(address->address, address->port) % CM_PLAN_PARTS;
+}
+
+/**
+ * struct part - an item of routes that is being made
+ * @buffer: its value
+ * @count: its routes
+ */
+struct part {
+	msgpack_sbuffer buffer;
+	uint32_t count;
+};
+
+static void put_route(struct part *part, const struct cm_steer_plan *plan,
+		      const struct cm_plan_route *route)
+{
+	const struct cm_plan_target *targets =
+		plan->targets + route->first_target;
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, &part->buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer,
+			   ROUTE_FIELDS + TARGET_FIELDS * route->target_count);
+	msgpack_pack_uint32(&packer, route->address.address);
+	msgpack_pack_uint16(&packer, route->address.port);
+	for (uint32_t i = 0; i < route->target_count; i++) {
+		cm_item_value_text(&packer, plan->names[targets[i].name].text);
+		msgpack_pack_uint32(&packer, targets[i].weight);
+	}
+}
+
+static void write_routes(const struct cm_steer_plan *plan,
+			 cm_plan_item_handler handler, void *user)
+{
+	struct part parts[CM_PLAN_PARTS] = { 0 };
+	char key[KEY_SIZE];
+
+	for (size_t i = 0; i < plan->route_count; i++)
+		parts[part_of(&plan->routes[i].address)].count++;
+	for (uint32_t i = 0; i < CM_PLAN_PARTS; i++) {
+		msgpack_packer packer;
+
+		msgpack_sbuffer_init(&parts[i].buffer);
+		msgpack_packer_init(&packer, &parts[i].buffer,
+				    msgpack_sbuffer_write);
+		msgpack_pack_array(&packer, parts[i].count);
+	}
+	for (size_t i = 0; i < plan->route_count; i++)
+		put_route(&parts[part_of(&plan->routes[i].address)], plan,
+			  &plan->routes[i]);
+	for (uint32_t i = 0; i < CM_PLAN_PARTS; i++) {
+		routes_key(key, i);
+		handler(user, key, parts[i].buffer.data, parts[i].buffer.size);
+		msgpack_sbuffer_destroy(&parts[i].buffer);
+	}
+}
+
+static void write_services(const struct cm_steer_plan *plan,
+			   cm_plan_item_handler handler, void *user)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, plan->service_count);
+	for (size_t i = 0; i < plan->service_count; i++) {
+		msgpack_pack_array(&packer, SERVICE_FIELDS);
+		cm_item_value_text(&packer, plan->services[i].name);
+		msgpack_pack_uint32(&packer, plan->services[i].cold_per_s);
+	}
+	handler(user, SERVICES_KEY, buffer.data, buffer.size);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+void cm_plan_items_write(const struct cm_steer_plan *plan,
+			 cm_plan_item_handler handler, void *user)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	write_routes(plan, handler, user);
+	write_services(plan, handler, user);
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, VERSION_FIELDS);
+	msgpack_pack_uint64(&packer, plan->version);
+	handler(user, VERSION_KEY, buffer.data, buffer.size);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+/**
+ * struct rows - an item that is being read as an array
+ * @value: its value
+ * @list: what is left of the array
+ */
+struct rows {
+	struct cm_item_value value;
+	struct cm_reader list;
+};
+
+static int rows_open(struct rows *rows, const struct cm_item_log *log,
+		     const char *key)
+{
+	const struct cm_item *item = cm_item_log_find(log, key);
+	struct cm_reader whole;
+
+	if (!item || item->is_gone)
+		return CM_E_MISSING_KEY;
+	whole = cm_item_value_open(&rows->value, item);
+	rows->list = cm_reader_array(&whole, CM_PLAN_ROWS_MAX);
+	return CM_OK;
+}
+
+static void read_route(struct cm_reader *list, struct cm_steer_route *route)
+{
+	struct cm_reader reader = cm_reader_array(
+		list, ROUTE_FIELDS + TARGET_FIELDS * CM_ROUTE_TARGETS_MAX);
+
+	route->target_count =
+		reader.left > ROUTE_FIELDS ?
+			(reader.left - ROUTE_FIELDS) / TARGET_FIELDS :
+			0;
+	route->address.address =
+		(uint32_t)cm_reader_number(&reader, UINT32_MAX);
+	route->address.port = (uint16_t)cm_reader_number(&reader, PORT_MAX);
+	route->address.protocol = IPPROTO_TCP;
+	for (uint32_t i = 0; i < route->target_count; i++) {
+		cm_reader_text(&reader, route->targets[i].service);
+		route->targets[i].weight =
+			(uint32_t)cm_reader_number(&reader, UINT32_MAX);
+	}
+	if (!route->target_count || reader.left)
+		cm_reader_fail(list, CM_E_TRUNCATED);
+}
+
+/**
+ * struct source - the items of a plan that is being read
+ * @rows: those that hold routes, then the one that holds the services
+ * @opened: number of @rows that were opened
+ */
+struct source {
+	struct rows rows[CM_PLAN_PARTS + 1];
+	uint32_t opened;
+};
+
+static int source_open(struct source *source, const struct cm_item_log *log)
+{
+	char key[KEY_SIZE];
+	int error = CM_OK;
+
+	source->opened = 0;
+	while (!error && source->opened < CM_PLAN_PARTS) {
+		routes_key(key, source->opened);
+		error = rows_open(&source->rows[source->opened], log, key);
+		source->opened += !error;
+	}
+	if (!error)
+		error = rows_open(&source->rows[CM_PLAN_PARTS], log,
+				  SERVICES_KEY);
+	source->opened += !error;
+	return error;
+}
+
+/* Return: the first error of the items. */
+static int source_close(struct source *source)
+{
+	int error = CM_OK;
+
+	for (uint32_t i = 0; i < source->opened; i++) {
+		int its_error = cm_item_value_close(&source->rows[i].value);
+
+		if (!error)
+			error = its_error;
+	}
+	return error;
+}
+
+static void read_services(struct cm_steer_plan *plan, struct cm_reader *list)
+{
+	while (list->left && !*list->error) {
+		struct cm_steer_service service = { .cold_per_s = 0 };
+		struct cm_reader reader =
+			cm_reader_struct(list, SERVICE_FIELDS);
+
+		cm_reader_text(&reader, service.name);
+		service.cold_per_s =
+			(uint32_t)cm_reader_number(&reader, UINT32_MAX);
+		cm_steer_plan_add_service(plan, &service);
+	}
+}
+
+static void read_routes(struct cm_steer_plan *plan, struct cm_reader *list)
+{
+	struct cm_steer_route route;
+
+	while (list->left && !*list->error) {
+		int error = CM_OK;
+
+		read_route(list, &route);
+		if (!*list->error)
+			error = cm_steer_plan_add_route(plan, &route);
+		if (error)
+			cm_reader_fail(list, error);
+	}
+}
+
+static int read_plan(struct cm_steer_plan *plan, struct source *source,
+		     uint64_t version)
+{
+	struct cm_reader *services = &source->rows[CM_PLAN_PARTS].list;
+	size_t routes = 0;
+	int error;
+
+	for (uint32_t i = 0; i < CM_PLAN_PARTS; i++)
+		routes += source->rows[i].list.left;
+	error = cm_steer_plan_init(plan, version, routes, services->left);
+	if (error)
+		return error;
+	read_services(plan, services);
+	for (uint32_t i = 0; i < CM_PLAN_PARTS; i++)
+		read_routes(plan, &source->rows[i].list);
+	return CM_OK;
+}
+
+int cm_plan_items_read(struct cm_steer_plan *plan,
+		       const struct cm_item_log *log, uint64_t version)
+{
+	struct source source;
+	int error = source_open(&source, log);
+	int item_error;
+
+	memset(plan, 0, sizeof(*plan));
+	if (!error)
+		error = read_plan(plan, &source, version);
+	item_error = source_close(&source);
+	if (item_error)
+		error = item_error;
+	if (!error)
+		error = cm_steer_plan_seal(plan);
+	if (error)
+		cm_steer_plan_finish(plan);
+	return error;
+}
+
+void cm_plan_items_keep(struct cm_item_log *log)
+{
+	char key[KEY_SIZE];
+
+	for (uint32_t i = 0; i < CM_PLAN_PARTS; i++) {
+		routes_key(key, i);
+		cm_item_log_keep(log, key);
+	}
+	cm_item_log_keep(log, SERVICES_KEY);
+	cm_item_log_keep(log, VERSION_KEY);
+}
+
+int cm_plan_items_version(const struct cm_item *item, uint64_t *version)
+{
+	struct cm_item_value value;
+	struct cm_reader whole, reader;
+
+	if (strcmp(item->key, VERSION_KEY) != 0 || item->is_gone)
+		return CM_E_UNSUPPORTED;
+	whole = cm_item_value_open(&value, item);
+	reader = cm_reader_struct(&whole, VERSION_FIELDS);
+	*version = cm_reader_number(&reader, UINT64_MAX);
+	return cm_item_value_close(&value);
+}
+
+bool cm_plan_items_has(const char *key)
+{
+	return !strncmp(key, ROUTES_KEY, strlen(ROUTES_KEY)) ||
+	       !strcmp(key, SERVICES_KEY) || !strcmp(key, VERSION_KEY);
+}
--- /dev/null
+++ b/src/adapters/registry_item.c
@@ -0,0 +1,200 @@
+#include "registry_item.h"
+
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chervilmast/error.h"
+#include "item_value.h"
+#include "plan_items.h"
+
+/* First letter of a key, as in "s/7f3a91c2". */
+#define KIND_SERVER 's'
+#define KIND_PLAN 'p'
+#define KIND_DOMAIN_OUT 'o'
+#define KIND_PEER 'm'
+
+/* Items of each msgpack array. */
+#define SERVER_FIELDS 8
+#define PEER_FIELDS 4
+
+#define PORT_MAX 65535
+
+/* A value that is too long stays cut, and is refused where it is read. */
+static int write_value(void *user, const char *bytes, size_t size)
+{
+	struct cm_registry_item *item = user;
+
+	if (size > sizeof(item->value) - item->size)
+		return -1;
+	memcpy(item->value + item->size, bytes, size);
+	item->size += size;
+	return 0;
+}
+
+static msgpack_packer begin(struct cm_registry_item *item, size_t fields)
+{
+	msgpack_packer packer;
+
+	item->size = 0;
+	msgpack_packer_init(&packer, item, write_value);
+	if (fields)
+		msgpack_pack_array(&packer, fields);
+	return packer;
+}
+
+void cm_registry_item_server(struct cm_registry_item *item, uint64_t id,
+			     const struct cm_server_entry *entry)
+{
+	msgpack_packer packer = begin(item, entry ? SERVER_FIELDS : 0);
+
+	snprintf(item->key, sizeof(item->key), "%c/%llx", KIND_SERVER,
+		 (unsigned long long)id);
+	if (!entry)
+		return;
+	msgpack_pack_uint64(&packer, entry->born_ms);
+	cm_item_value_text(&packer, entry->service);
+	cm_item_value_text(&packer, entry->domain);
+	msgpack_pack_uint32(&packer, entry->address.address);
+	msgpack_pack_uint16(&packer, entry->address.port);
+	msgpack_pack_uint32(&packer, entry->slots);
+	msgpack_pack_uint32(&packer, entry->cold_left_ms);
+	msgpack_pack_uint8(&packer, entry->is_draining);
+}
+
+void cm_registry_item_domain_out(struct cm_registry_item *item,
+				 const char *domain)
+{
+	begin(item, 0);
+	snprintf(item->key, sizeof(item->key), "%c/%s", KIND_DOMAIN_OUT,
+		 domain);
+}
+
+void cm_registry_item_peer(struct cm_registry_item *item,
+			   const struct cm_peer_entry *entry)
+{
+	msgpack_packer packer = begin(item, PEER_FIELDS);
+
+	snprintf(item->key, sizeof(item->key), "%c/%s", KIND_PEER, entry->name);
+	cm_item_value_text(&packer, entry->domain);
+	msgpack_pack_uint32(&packer, entry->control.address);
+	msgpack_pack_uint16(&packer, entry->control.port);
+	msgpack_pack_uint64(&packer, entry->rank);
+}
+
+static void read_endpoint(struct cm_reader *reader,
+			  struct cm_endpoint *endpoint, uint8_t protocol)
+{
+	endpoint->address = (uint32_t)cm_reader_number(reader, UINT32_MAX);
+	endpoint->port = (uint16_t)cm_reader_number(reader, PORT_MAX);
+	endpoint->protocol = protocol;
+}
+
+static int decode_server(const struct cm_item *item, const char *name,
+			 const struct cm_registry_events *events)
+{
+	struct cm_server_entry entry = { .born_ms = 0 };
+	struct cm_reader whole, reader;
+	struct cm_item_value value;
+	char *end;
+
+	entry.id = strtoull(name, &end, 16);
+	if (!*name || *end)
+		return CM_E_BAD_NAME;
+	if (item->is_gone) {
+		events->server_gone(events->user, entry.id);
+		return CM_OK;
+	}
+	whole = cm_item_value_open(&value, item);
+	reader = cm_reader_struct(&whole, SERVER_FIELDS);
+	entry.born_ms = cm_reader_number(&reader, UINT64_MAX);
+	cm_reader_text(&reader, entry.service);
+	cm_reader_text(&reader, entry.domain);
+	read_endpoint(&reader, &entry.address, IPPROTO_UDP);
+	entry.slots = (uint32_t)cm_reader_number(&reader, UINT32_MAX);
+	entry.cold_left_ms = (uint32_t)cm_reader_number(&reader, UINT32_MAX);
+	entry.is_draining = cm_reader_number(&reader, 1);
+	if (!value.error && !entry.slots)
+		value.error = CM_E_OUT_OF_RANGE;
+	if (!value.error)
+		events->server(events->user, &entry);
+	return cm_item_value_close(&value);
+}
+
+static int read_name(char *name, const char *text)
+{
+	size_t length = strlen(text);
+
+	if (!length || length >= CM_NAME_SIZE)
+		return CM_E_BAD_NAME;
+	memcpy(name, text, length + 1);
+	return CM_OK;
+}
+
+/* The other items of a plan are read when its version comes. */
+static int decode_plan(const struct cm_item *item,
+		       const struct cm_registry_events *events)
+{
+	uint64_t version;
+	int error = cm_plan_items_version(item, &version);
+
+	if (!error)
+		events->plan(events->user, version);
+	if (error == CM_E_UNSUPPORTED && cm_plan_items_has(item->key))
+		return CM_OK;
+	return error;
+}
+
+static int decode_domain_out(const struct cm_item *item, const char *name,
+			     const struct cm_registry_events *events)
+{
+	events->domain_out(events->user, name, !item->is_gone);
+	return CM_OK;
+}
+
+static int decode_peer(const struct cm_item *item, const char *name,
+		       const struct cm_registry_events *events)
+{
+	struct cm_peer_entry entry = { .rank = 0 };
+	struct cm_reader whole, reader;
+	struct cm_item_value value;
+	int error = read_name(entry.name, name);
+
+	if (error)
+		return error;
+	if (item->is_gone) {
+		events->peer_gone(events->user, name);
+		return CM_OK;
+	}
+	whole = cm_item_value_open(&value, item);
+	reader = cm_reader_struct(&whole, PEER_FIELDS);
+	cm_reader_text(&reader, entry.domain);
+	read_endpoint(&reader, &entry.control, IPPROTO_TCP);
+	entry.rank = cm_reader_number(&reader, UINT64_MAX);
+	if (!value.error)
+		events->peer(events->user, &entry);
+	return cm_item_value_close(&value);
+}
+
+int cm_registry_item_decode(const struct cm_item *item,
+			    const struct cm_registry_events *events)
+{
+	const char *name;
+
+	if (!item->key[0] || item->key[1] != '/')
+		return CM_E_UNSUPPORTED;
+	name = item->key + 2;
+	switch (item->key[0]) {
+	case KIND_SERVER:
+		return decode_server(item, name, events);
+	case KIND_PLAN:
+		return decode_plan(item, events);
+	case KIND_DOMAIN_OUT:
+		return decode_domain_out(item, name, events);
+	case KIND_PEER:
+		return decode_peer(item, name, events);
+	default:
+		return CM_E_UNSUPPORTED;
+	}
+}
--- a/src/core/item_log.c
+++ b/src/core/item_log.c
@@ -48,6 +48,12 @@
 	return NULL;
 }
 
+const struct cm_item *cm_item_log_find(const struct cm_item_log *log,
+				       const char *key)
+{
+	return find(log, key);
+}
+
 static struct cm_item *add(struct cm_item_log *log, const char *key)
 {
 	struct cm_item *item = calloc(1, sizeof(*item));
@@ -61,13 +67,23 @@
 	}
 	LIST_INSERT_HEAD(bucket_of(log, key), item, bucket);
 	TAILQ_INSERT_TAIL(&log->all, item, link);
+	log->count++;
 	return item;
 }
 
-static void move_to_end(struct cm_item_log *log, struct cm_item *item)
+/* A snapshot is sorted at its end; other changes mostly come in their order. */
+static void move_to_revision(struct cm_item_log *log, struct cm_item *item)
 {
+	struct cm_item *before;
+
 	TAILQ_REMOVE(&log->all, item, link);
-	TAILQ_INSERT_TAIL(&log->all, item, link);
+	before = TAILQ_LAST(&log->all, cm_item_list);
+	while (!log->in_snapshot && before && before->revision > item->revision)
+		before = TAILQ_PREV(before, cm_item_list, link);
+	if (before)
+		TAILQ_INSERT_AFTER(&log->all, before, item, link);
+	else
+		TAILQ_INSERT_HEAD(&log->all, item, link);
 }
 
 static char *copy_bytes(const char *bytes, size_t size)
@@ -82,6 +98,13 @@
 	return copy;
 }
 
+static bool has_value(const struct cm_item *item, const char *value,
+		      size_t size)
+{
+	return !item->is_gone && item->size == size &&
+	       (!size || !memcmp(item->value, value, size));
+}
+
 const struct cm_item *cm_item_log_put(struct cm_item_log *log, const char *key,
 				      const char *value, size_t size,
 				      uint64_t revision)
@@ -89,7 +112,8 @@
 	struct cm_item *item = find(log, key);
 	char *copy;
 
-	if (item && item->revision >= revision) {
+	if (item &&
+	    (item->revision >= revision || has_value(item, value, size))) {
 		item->is_seen = true;
 		return NULL;
 	}
@@ -106,7 +130,7 @@
 	item->revision = revision;
 	item->is_gone = false;
 	item->is_seen = true;
-	move_to_end(log, item);
+	move_to_revision(log, item);
 	return item;
 }
 
@@ -119,7 +143,7 @@
 	item->revision = revision;
 	item->is_gone = true;
 	item->gone_ms = now_ms;
-	move_to_end(log, item);
+	move_to_revision(log, item);
 }
 
 const struct cm_item *cm_item_log_remove(struct cm_item_log *log,
@@ -140,6 +164,89 @@
 
 	TAILQ_FOREACH (item, &log->all, link)
 		item->is_seen = false;
+	log->in_snapshot = true;
+}
+
+void cm_item_log_keep(struct cm_item_log *log, const char *key)
+{
+	struct cm_item *item = find(log, key);
+
+	if (item)
+		item->is_seen = true;
+}
+
+/**
+ * struct place - a place in the list of all
+ * @item: the item there
+ * @at: number of items before it
+ */
+struct place {
+	struct cm_item *item;
+	uint32_t at;
+};
+
+static int compare_places(const void *a, const void *b)
+{
+	const struct place *first = a;
+	const struct place *second = b;
+
+	if (first->item->revision != second->item->revision)
+		return first->item->revision < second->item->revision ? -1 : 1;
+	return first->at < second->at ? -1 : 1;
+}
+
+static bool is_in_order(const struct cm_item_log *log)
+{
+	const struct cm_item *item;
+
+	TAILQ_FOREACH (item, &log->all, link) {
+		const struct cm_item *next = TAILQ_NEXT(item, link);
+
+		if (next && next->revision < item->revision)
+			return false;
+	}
+	return true;
+}
+
+/* Without memory each item is moved to its place. */
+static void sort_slowly(struct cm_item_log *log)
+{
+	struct cm_item_list unsorted;
+
+	TAILQ_INIT(&unsorted);
+	TAILQ_CONCAT(&unsorted, &log->all, link);
+	while (!TAILQ_EMPTY(&unsorted)) {
+		struct cm_item *item = TAILQ_FIRST(&unsorted);
+
+		TAILQ_REMOVE(&unsorted, item, link);
+		TAILQ_INSERT_TAIL(&log->all, item, link);
+		move_to_revision(log, item);
+	}
+}
+
+static void sort(struct cm_item_log *log)
+{
+	struct place *places;
+	struct cm_item *item;
+	uint32_t count = 0;
+
+	if (is_in_order(log))
+		return;
+	places = calloc(log->count, sizeof(*places));
+	if (!places) {
+		sort_slowly(log);
+		return;
+	}
+	TAILQ_FOREACH (item, &log->all, link) {
+		places[count].item = item;
+		places[count].at = count;
+		count++;
+	}
+	qsort(places, count, sizeof(*places), compare_places);
+	TAILQ_INIT(&log->all);
+	for (uint32_t i = 0; i < count; i++)
+		TAILQ_INSERT_TAIL(&log->all, places[i].item, link);
+	free(places);
 }
 
 /* Items that go are moved behind the last one that was there at first. */
@@ -161,6 +268,8 @@
 		}
 		item = next;
 	}
+	log->in_snapshot = false;
+	sort(log);
 	if (!log->complete_since)
 		log->complete_since = revision;
 	cm_item_log_reached(log, revision);
@@ -177,20 +286,48 @@
 	return revision && revision >= log->complete_since;
 }
 
-void cm_item_log_tell(const struct cm_item_log *log, uint64_t after,
-		      cm_item_handler handler, void *user)
+/* The first item that changed after a revision; NULL for none. */
+static const struct cm_item *first_after(const struct cm_item_log *log,
+					 uint64_t after)
 {
+	const struct cm_item *first = NULL;
 	const struct cm_item *item;
 
-	TAILQ_FOREACH (item, &log->all, link)
-		if (after ? item->revision > after : !item->is_gone)
-			handler(user, item);
+	if (!after)
+		return TAILQ_FIRST(&log->all);
+	TAILQ_FOREACH_REVERSE(item, &log->all, cm_item_list, link)
+	{
+		if (item->revision <= after)
+			break;
+		first = item;
+	}
+	return first;
+}
+
+uint64_t cm_item_log_tell(const struct cm_item_log *log, uint64_t after,
+			  uint32_t most, cm_item_handler handler, void *user)
+{
+	const struct cm_item *item = first_after(log, after);
+	uint64_t last = after;
+	uint32_t told = 0;
+
+	for (; item; item = TAILQ_NEXT(item, link)) {
+		if (told >= most && item->revision > last)
+			return last;
+		last = item->revision;
+		if (!after && item->is_gone)
+			continue;
+		handler(user, item);
+		told++;
+	}
+	return log->revision;
 }
 
 static void forget(struct cm_item_log *log, struct cm_item *item)
 {
 	if (item->revision > log->complete_since)
 		log->complete_since = item->revision;
+	log->count--;
 	LIST_REMOVE(item, bucket);
 	TAILQ_REMOVE(&log->all, item, link);
 	item_free(item);
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -141,12 +141,12 @@
 
 static void place(struct cm_steer *steer, uint64_t now_ms,
 		  const struct cm_steer_packet *packet,
-		  const struct cm_steer_route *route, uint32_t avoid_token,
+		  const struct cm_plan_route *route, uint32_t avoid_token,
 		  struct cm_steer_verdict *verdict)
 {
 	struct cm_choice choice = {
-		.service = cm_steer_route_service(
-			route, cm_flow_key_hash(&packet->key)),
+		.service = cm_steer_plan_target(&steer->plan, route,
+						cm_flow_key_hash(&packet->key)),
 		.avoid_token = avoid_token,
 		.now_ms = now_ms,
 	};
@@ -176,7 +176,7 @@
 		      const struct cm_steer_packet *packet,
 		      struct cm_steer_verdict *verdict)
 {
-	const struct cm_steer_route *route =
+	const struct cm_plan_route *route =
 		cm_steer_plan_route(&steer->plan, &packet->key.service);
 	struct cm_steer_flow *flow =
 		cm_steer_flows_find(&steer->flows, &packet->key);
--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -31,13 +31,6 @@
 			       const struct cm_steer_server *server,
 			       uint64_t now_ms);
 
-/**
- * cm_steer_forget_lapsed_peers() - forget nodes that did not come back
- * @steer: the node; its lock is held
- * @now_ms: current time
- */
-void cm_steer_forget_lapsed_peers(struct cm_steer *steer, uint64_t now_ms);
-
 /**
  * cm_steer_note_change() - keep a change of what the node believes
  * @steer: the node; its lock is held
--- a/src/core/steer_peer.c
+++ b/src/core/steer_peer.c
@@ -52,7 +52,6 @@
 	}
 	peer->entry = *entry;
 	peer->domain_hash = cm_steer_name_hash(entry->domain);
-	peer->is_lapsed = false;
 	return CM_OK;
 }
 
--- a/src/core/steer_plan.c
+++ b/src/core/steer_plan.c
@@ -5,6 +5,9 @@
 
 #include "chervilmast/error.h"
 
+/** Room that a list begins with; doubled when it is full. */
+#define ROOM_FIRST 16
+
 int cm_steer_plan_init(struct cm_steer_plan *plan, uint64_t version,
 		       size_t routes, size_t services)
 {
@@ -21,14 +24,78 @@
 void cm_steer_plan_finish(struct cm_steer_plan *plan)
 {
 	free(plan->routes);
+	free(plan->targets);
+	free(plan->names);
 	free(plan->services);
 	memset(plan, 0, sizeof(*plan));
 }
 
-void cm_steer_plan_add_route(struct cm_steer_plan *plan,
-			     const struct cm_steer_route *route)
+static int make_room(void *items, size_t *room, size_t count, size_t size)
+{
+	size_t more = *room ? *room * 2 : ROOM_FIRST;
+	void **array = items;
+	void *grown;
+
+	if (count < *room)
+		return CM_OK;
+	grown = realloc(*array, more * size);
+	if (!grown)
+		return CM_E_MEMORY;
+	*array = grown;
+	*room = more;
+	return CM_OK;
+}
+
+/* Most routes lead where the one before led. */
+static int find_name(struct cm_steer_plan *plan, const char *text,
+		     uint32_t *name)
+{
+	int error;
+
+	for (size_t i = plan->name_count; i-- > 0;) {
+		if (strcmp(plan->names[i].text, text) != 0)
+			continue;
+		*name = (uint32_t)i;
+		return CM_OK;
+	}
+	error = make_room(&plan->names, &plan->name_room, plan->name_count,
+			  sizeof(*plan->names));
+	if (error)
+		return error;
+	*name = (uint32_t)plan->name_count++;
+	memcpy(plan->names[*name].text, text, CM_NAME_SIZE);
+	return CM_OK;
+}
+
+static int add_target(struct cm_steer_plan *plan,
+		      const struct cm_route_target *target)
+{
+	struct cm_plan_target added = { .weight = target->weight };
+	int error = find_name(plan, target->service, &added.name);
+
+	if (!error)
+		error = make_room(&plan->targets, &plan->target_room,
+				  plan->target_count, sizeof(*plan->targets));
+	if (!error)
+		plan->targets[plan->target_count++] = added;
+	return error;
+}
+
+int cm_steer_plan_add_route(struct cm_steer_plan *plan,
+			    const struct cm_steer_route *route)
 {
-	plan->routes[plan->route_count++] = *route;
+	const struct cm_plan_route added = {
+		.address = route->address,
+		.target_count = route->target_count,
+		.first_target = (uint32_t)plan->target_count,
+	};
+	int error = CM_OK;
+
+	for (uint32_t i = 0; i < route->target_count && !error; i++)
+		error = add_target(plan, &route->targets[i]);
+	if (!error)
+		plan->routes[plan->route_count++] = added;
+	return error;
 }
 
 void cm_steer_plan_add_service(struct cm_steer_plan *plan,
@@ -49,8 +116,8 @@
 
 static int compare_routes(const void *a, const void *b)
 {
-	const struct cm_steer_route *first = a;
-	const struct cm_steer_route *second = b;
+	const struct cm_plan_route *first = a;
+	const struct cm_plan_route *second = b;
 
 	return compare_endpoints(&first->address, &second->address);
 }
@@ -79,11 +146,11 @@
 	return CM_OK;
 }
 
-const struct cm_steer_route *
+const struct cm_plan_route *
 cm_steer_plan_route(const struct cm_steer_plan *plan,
 		    const struct cm_endpoint *address)
 {
-	struct cm_steer_route wanted = { .address = *address };
+	struct cm_plan_route wanted = { .address = *address };
 
 	if (!plan->route_count)
 		return NULL;
@@ -103,21 +170,24 @@
 		       sizeof(wanted), compare_services);
 }
 
-const char *cm_steer_route_service(const struct cm_steer_route *route,
-				   uint64_t hash)
+const char *cm_steer_plan_target(const struct cm_steer_plan *plan,
+				 const struct cm_plan_route *route,
+				 uint64_t hash)
 {
+	const struct cm_plan_target *targets =
+		plan->targets + route->first_target;
 	uint64_t sum = 0;
 	uint64_t at;
 
 	for (uint32_t i = 0; i < route->target_count; i++)
-		sum += route->targets[i].weight;
+		sum += targets[i].weight;
 	if (!sum)
 		return NULL;
 	at = hash % sum;
 	for (uint32_t i = 0; i < route->target_count; i++) {
-		if (at < route->targets[i].weight)
-			return route->targets[i].service;
-		at -= route->targets[i].weight;
+		if (at < targets[i].weight)
+			return plan->names[targets[i].name].text;
+		at -= targets[i].weight;
 	}
 	return NULL;
 }
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -41,6 +41,16 @@
 	return error;
 }
 
+bool cm_steer_can_place(struct cm_steer *steer)
+{
+	bool can_place;
+
+	pthread_mutex_lock(&steer->lock);
+	can_place = steer->plan.version && steer->servers.count;
+	pthread_mutex_unlock(&steer->lock);
+	return can_place;
+}
+
 /*
  * A new server joins the order of choices at a place that differs from node to
  * node: all of them would give it their next flow at once.
@@ -111,42 +121,17 @@
 	return error;
 }
 
-static void peer_gone(struct cm_steer *steer, struct cm_steer_peer *peer,
-		      uint64_t now_ms)
-{
-	if (may_have_lapsed(steer, now_ms))
-		peer->is_lapsed = true;
-	else
-		cm_steer_peers_remove(&steer->peers, peer);
-}
-
-void cm_steer_remove_peer(struct cm_steer *steer, uint64_t now_ms,
-			  const char *name)
+void cm_steer_remove_peer(struct cm_steer *steer, const char *name)
 {
 	struct cm_steer_peer *peer;
 
 	pthread_mutex_lock(&steer->lock);
 	peer = cm_steer_peers_find(&steer->peers, name);
 	if (peer)
-		peer_gone(steer, peer, now_ms);
+		cm_steer_peers_remove(&steer->peers, peer);
 	pthread_mutex_unlock(&steer->lock);
 }
 
-void cm_steer_forget_lapsed_peers(struct cm_steer *steer, uint64_t now_ms)
-{
-	struct cm_steer_peer *peer = TAILQ_FIRST(&steer->peers.all);
-
-	if (may_have_lapsed(steer, now_ms))
-		return;
-	while (peer) {
-		struct cm_steer_peer *next = TAILQ_NEXT(peer, link);
-
-		if (peer->is_lapsed)
-			cm_steer_peers_remove(&steer->peers, peer);
-		peer = next;
-	}
-}
-
 static void remove_domain_out(struct cm_steer *steer, struct cm_domain_out *out)
 {
 	*out = steer->out[--steer->out_count];
@@ -174,9 +159,8 @@
 
 	pthread_mutex_lock(&steer->lock);
 	out = cm_steer_domain_out(steer, domain);
-	if (out)
-		if (out && !is_out)
-			remove_domain_out(steer, out);
+	if (out && !is_out)
+		remove_domain_out(steer, out);
 	if (!out && is_out)
 		error = add_domain_out(steer, now_ms, domain);
 	pthread_mutex_unlock(&steer->lock);
@@ -211,6 +195,14 @@
 	pthread_mutex_unlock(&steer->lock);
 }
 
+static bool is_asked_before(const struct cm_steer_peer *peer,
+			    const struct cm_steer_peer *other)
+{
+	if (peer->entry.rank != other->entry.rank)
+		return peer->entry.rank < other->entry.rank;
+	return strcmp(peer->entry.name, other->entry.name) < 0;
+}
+
 bool cm_steer_source(struct cm_steer *steer, const char *self, uint64_t now_ms,
 		     const struct cm_feed_source *feed,
 		     struct cm_peer_entry *source)
@@ -220,11 +212,10 @@
 
 	pthread_mutex_lock(&steer->lock);
 	TAILQ_FOREACH (peer, &steer->peers.all, link) {
-		if (peer->is_lapsed ||
-		    strcmp(peer->entry.domain, steer->config.domain) != 0 ||
+		if (peer->domain_hash != steer->domain_hash ||
 		    cm_feed_source_is_passed(feed, peer->entry.name, now_ms))
 			continue;
-		if (!first || strcmp(peer->entry.name, first->entry.name) < 0)
+		if (!first || is_asked_before(peer, first))
 			first = peer;
 	}
 	found = first && strcmp(first->entry.name, self) != 0;
@@ -243,3 +234,18 @@
 	pthread_mutex_unlock(&steer->lock);
 	return count;
 }
+
+uint32_t cm_steer_list_peers(struct cm_steer *steer, const char *domain,
+			     struct cm_peer_entry *entries, uint32_t most)
+{
+	uint64_t domain_hash = cm_steer_name_hash(domain);
+	const struct cm_steer_peer *peer;
+	uint32_t count = 0;
+
+	pthread_mutex_lock(&steer->lock);
+	TAILQ_FOREACH (peer, &steer->peers.all, link)
+		if (peer->domain_hash == domain_hash && count < most)
+			entries[count++] = peer->entry;
+	pthread_mutex_unlock(&steer->lock);
+	return count;
+}
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -141,6 +141,16 @@
 	pthread_mutex_unlock(&steer->lock);
 }
 
+bool cm_steer_is_leaving(struct cm_steer *steer)
+{
+	bool is_leaving;
+
+	pthread_mutex_lock(&steer->lock);
+	is_leaving = steer->is_leaving;
+	pthread_mutex_unlock(&steer->lock);
+	return is_leaving;
+}
+
 /* A node that has just started is, until it reached a server. */
 static bool is_cut_off(const struct cm_steer *steer)
 {
@@ -243,7 +253,6 @@
 	cm_steer_advance_clock(steer, now_ms);
 	judge_opening(steer);
 	forget_idle(steer, now_ms);
-	cm_steer_forget_lapsed_peers(steer, now_ms);
 	if (now_ms > steer->config.flow_life_ms)
 		cm_steer_servers_sweep(&steer->servers,
 				       now_ms - steer->config.flow_life_ms);
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -2,9 +2,11 @@
 
 #include <string.h>
 
+#include "adapters/plan_items.h"
+#include "adapters/registry_item.h"
 #include "chervilmast/error.h"
-#include "feed_events.h"
 #include "condition.h"
+#include "feed_events.h"
 #include "ports/clock.h"
 
 /** Time for which items that went are kept, ms. */
@@ -13,22 +15,18 @@
 #define SWEEP_MS 5000
 
 void cm_feed_init(struct cm_feed *feed, struct cm_steer *steer,
-		  const struct cm_registry_ops *ops, uint64_t age_max_ms)
+		  const struct cm_feed_config *config)
 {
+	memset(feed, 0, sizeof(*feed));
 	feed->steer = steer;
-	feed->ops = ops;
+	feed->self = config->self;
+	feed->incarnation = config->incarnation;
+	feed->alone_ms = config->alone_ms;
 	pthread_mutex_init(&feed->lock, NULL);
 	cm_item_log_init(&feed->log);
-	cm_feed_source_init(&feed->source, age_max_ms);
-	feed->asked_ms = 0;
-	memset(&feed->asked, 0, sizeof(feed->asked));
+	cm_roster_init(&feed->roster);
+	cm_feed_source_init(&feed->source, config->age_max_ms);
 	cm_condition_init(&feed->turned);
-	feed->turns = 0;
-	feed->turns_seen = 0;
-	feed->is_lost = false;
-	memset(&feed->suspects, 0, sizeof(feed->suspects));
-	memset(&feed->failures, 0, sizeof(feed->failures));
-	feed->swept_ms = 0;
 }
 
 void cm_feed_finish(struct cm_feed *feed)
@@ -48,22 +46,24 @@
 	return revision;
 }
 
-static void decode(void *user, const struct cm_item *item)
+bool cm_feed_is_confirmed(struct cm_feed *feed)
 {
-	struct cm_feed *feed = user;
-	const struct cm_registry_events events = cm_feed_events(feed->steer);
+	bool is_confirmed;
 
-	feed->ops->decode(item, &events);
+	pthread_mutex_lock(&feed->lock);
+	is_confirmed = feed->is_confirmed;
+	pthread_mutex_unlock(&feed->lock);
+	return is_confirmed;
 }
 
-static void put(struct cm_feed *feed, const char *key, const char *value,
-		size_t size, uint64_t revision)
+static void put(struct cm_feed *feed, const struct cm_registry_item *entry,
+		uint64_t revision)
 {
-	const struct cm_item *item =
-		cm_item_log_put(&feed->log, key, value, size, revision);
+	const struct cm_item *item = cm_item_log_put(
+		&feed->log, entry->key, entry->value, entry->size, revision);
 
 	if (item)
-		decode(feed, item);
+		cm_feed_apply(feed, item);
 }
 
 static void remove_item(struct cm_feed *feed, const char *key,
@@ -73,321 +73,337 @@
 		cm_item_log_remove(&feed->log, key, revision, cm_clock_ms());
 
 	if (item)
-		decode(feed, item);
+		cm_feed_apply(feed, item);
 }
 
 void cm_feed_begin(struct cm_feed *feed)
 {
 	pthread_mutex_lock(&feed->lock);
+	feed->snapshot.of = 0;
+	feed->has_plan = false;
 	cm_item_log_begin(&feed->log);
 	pthread_mutex_unlock(&feed->lock);
 }
 
-static void told_put(void *user, const char *key, const char *value,
-		     size_t size, uint64_t revision)
+static void told_server(void *user, const struct cm_server_entry *entry,
+			uint64_t revision)
 {
 	struct cm_feed *feed = user;
+	struct cm_registry_item item;
 
+	cm_registry_item_server(&item, entry->id, entry);
 	pthread_mutex_lock(&feed->lock);
-	put(feed, key, value, size, revision);
+	put(feed, &item, revision);
 	pthread_mutex_unlock(&feed->lock);
 }
 
-static void told_remove(void *user, const char *key, uint64_t revision)
+static void told_server_gone(void *user, uint64_t id, uint64_t revision)
 {
 	struct cm_feed *feed = user;
+	struct cm_registry_item item;
 
+	cm_registry_item_server(&item, id, NULL);
 	pthread_mutex_lock(&feed->lock);
-	remove_item(feed, key, revision);
+	remove_item(feed, item.key, revision);
 	pthread_mutex_unlock(&feed->lock);
 }
 
-static void told_all(void *user, uint64_t revision)
+static void told_domain_out(void *user, const char *domain, bool is_out,
+			    uint64_t revision)
 {
 	struct cm_feed *feed = user;
+	struct cm_registry_item item;
 
+	cm_registry_item_domain_out(&item, domain);
 	pthread_mutex_lock(&feed->lock);
-	cm_item_log_end(&feed->log, revision, cm_clock_ms(), decode, feed);
+	if (is_out)
+		put(feed, &item, revision);
+	else
+		remove_item(feed, item.key, revision);
 	pthread_mutex_unlock(&feed->lock);
 }
 
-static void told_changes(void *user, uint64_t revision)
+/**
+ * struct plan_put - a plan whose items are being put
+ * @feed: the copy
+ * @revision: revision of the registry at the plan's last change
+ */
+struct plan_put {
+	struct cm_feed *feed;
+	uint64_t revision;
+};
+
+static void put_plan_item(void *user, const char *key, const char *value,
+			  size_t size)
 {
-	struct cm_feed *feed = user;
-	uint64_t now_ms = cm_clock_ms();
+	const struct plan_put *plan_put = user;
+	const struct cm_item *item = cm_item_log_put(
+		&plan_put->feed->log, key, value, size, plan_put->revision);
 
-	pthread_mutex_lock(&feed->lock);
-	cm_item_log_reached(&feed->log, revision);
-	if (now_ms >= feed->swept_ms + SWEEP_MS && now_ms > GONE_KEPT_MS) {
-		cm_item_log_sweep(&feed->log, now_ms - GONE_KEPT_MS);
-		feed->swept_ms = now_ms;
-	}
-	pthread_mutex_unlock(&feed->lock);
+	if (item)
+		cm_feed_apply(plan_put->feed, item);
 }
 
-struct cm_registry_sink cm_feed_sink(struct cm_feed *feed, bool is_all)
+static void put_plan(struct cm_feed *feed, const struct cm_steer_plan *plan,
+		     uint64_t revision)
 {
-	const struct cm_registry_sink sink = {
-		.put = told_put,
-		.remove = told_remove,
-		.reached = is_all ? told_all : told_changes,
-		.user = feed,
-	};
+	struct plan_put plan_put = { feed, revision };
 
-	return sink;
+	feed->has_plan = true;
+	cm_plan_items_write(plan, put_plan_item, &plan_put);
 }
 
-static void set_lost(struct cm_feed *feed, bool is_lost)
+static void told_plan(void *user, struct cm_steer_plan *plan, uint64_t revision)
 {
+	struct cm_feed *feed = user;
+
 	pthread_mutex_lock(&feed->lock);
-	feed->is_lost = is_lost;
+	if (plan->version >= feed->version)
+		put_plan(feed, plan, revision);
+	else
+		cm_feed_bad_item(feed, "plan", CM_E_STALE);
 	pthread_mutex_unlock(&feed->lock);
+	cm_steer_plan_finish(plan);
 }
 
-void cm_feed_heard(struct cm_feed *feed, uint64_t now_ms)
+static bool has_member(const struct cm_domain_members *members,
+		       const char *name)
 {
-	set_lost(feed, false);
-	cm_steer_heard(feed->steer, now_ms);
+	for (uint32_t i = 0; i < members->count; i++)
+		if (!strcmp(members->entries[i].name, name))
+			return true;
+	return false;
 }
 
-void cm_feed_lost(struct cm_feed *feed)
+static void remove_leavers(struct cm_feed *feed,
+			   const struct cm_domain_members *members,
+			   uint64_t revision)
 {
-	set_lost(feed, true);
-	cm_steer_lost(feed->steer);
+	struct cm_peer_entry *known = feed->listed;
+	uint32_t count = cm_steer_list_peers(feed->steer, members->domain,
+					     known, CM_ROSTER_MAX);
+	struct cm_registry_item item;
+
+	for (uint32_t i = 0; i < count; i++) {
+		cm_registry_item_peer(&item, &known[i]);
+		if (!has_member(members, known[i].name))
+			remove_item(feed, item.key, revision);
+	}
 }
 
-bool cm_feed_source(struct cm_feed *feed, const char *self, uint64_t now_ms,
-		    struct cm_peer_entry *source)
+static void told_members(void *user, const struct cm_domain_members *members,
+			 uint64_t revision)
 {
-	bool may_ask;
+	struct cm_feed *feed = user;
+	struct cm_registry_item item;
 
 	pthread_mutex_lock(&feed->lock);
-	may_ask = feed->log.revision &&
-		  cm_steer_source(feed->steer, self, now_ms, &feed->source,
-				  source) &&
-		  cm_feed_source_may_ask(&feed->source, source->name, now_ms);
-	if (may_ask) {
-		feed->asked_ms = now_ms;
-		feed->asked = source->control;
+	remove_leavers(feed, members, revision);
+	for (uint32_t i = 0; i < members->count; i++) {
+		cm_registry_item_peer(&item, &members->entries[i]);
+		put(feed, &item, revision);
+	}
+	if (!strcmp(members->domain, feed->self.domain) &&
+	    revision > feed->members_revision) {
+		feed->members_revision = revision;
+		cm_roster_store(&feed->roster, cm_clock_ms(), members);
 	}
 	pthread_mutex_unlock(&feed->lock);
-	return may_ask;
 }
 
-bool cm_feed_is_searching(struct cm_feed *feed)
+/*
+ * The entry went with the lease of who wrote it. The members are still the ones
+ * to ask, and one of them enters them anew.
+ */
+static void told_members_gone(void *user, const char *domain, uint64_t revision)
 {
-	bool is_searching;
+	struct cm_feed *feed = user;
 
+	(void)revision;
 	pthread_mutex_lock(&feed->lock);
-	is_searching = !feed->source.is_proven;
+	if (!strcmp(domain, feed->self.domain)) {
+		feed->members_revision = 0;
+		cm_roster_store(&feed->roster, cm_clock_ms(), NULL);
+	}
 	pthread_mutex_unlock(&feed->lock);
-	return is_searching;
 }
 
-void cm_feed_pause(struct cm_feed *feed, uint32_t pause_ms)
+static void told_bad_item(void *user, const char *key, int error)
 {
-	struct timespec end = cm_condition_end(pause_ms);
-
-	pthread_mutex_lock(&feed->lock);
-	while (feed->turns == feed->turns_seen &&
-	       !pthread_cond_timedwait(&feed->turned, &feed->lock, &end))
-		;
-	feed->turns_seen = feed->turns;
-	pthread_mutex_unlock(&feed->lock);
+	cm_feed_bad_item(user, key, error);
 }
 
-void cm_feed_request(struct cm_feed *feed,
-		     struct cm_message_items_request *request)
+static void apply(void *user, const struct cm_item *item)
 {
-	request->after = cm_feed_revision(feed);
-	request->suspects.count = cm_steer_suspects(
-		feed->steer, request->suspects.tokens, CM_MESSAGE_TOKENS_MAX);
-	request->failures.count =
-		cm_steer_take_failures(feed->steer, request->failures.tokens);
+	cm_feed_apply(user, item);
 }
 
-static void take_items(struct cm_feed *feed,
-		       const struct cm_message_items *items)
+/* Members of the own failure domain stay known while it has no entry. */
+static void keep_members(struct cm_feed *feed)
 {
-	if (items->is_all)
-		cm_item_log_begin(&feed->log);
-	for (uint32_t i = 0; i < items->count; i++) {
-		const struct cm_message_item *item = &items->items[i];
+	uint32_t count = cm_steer_list_peers(feed->steer, feed->self.domain,
+					     feed->listed, CM_ROSTER_MAX);
+	struct cm_registry_item item;
 
-		if (item->is_gone)
-			remove_item(feed, item->key, item->revision);
-		else
-			put(feed, item->key, item->value, item->size,
-			    item->revision);
+	for (uint32_t i = 0; i < count; i++) {
+		cm_registry_item_peer(&item, &feed->listed[i]);
+		cm_item_log_keep(&feed->log, item.key);
 	}
-	if (items->is_all)
-		cm_item_log_end(&feed->log, items->revision, cm_clock_ms(),
-				decode, feed);
-	else
-		cm_item_log_reached(&feed->log, items->revision);
 }
 
-static void end_pause(struct cm_feed *feed)
+static void told_all(void *user, uint64_t revision)
 {
-	feed->turns++;
-	pthread_cond_signal(&feed->turned);
+	struct cm_feed *feed = user;
+
+	pthread_mutex_lock(&feed->lock);
+	keep_members(feed);
+	if (!feed->has_plan)
+		cm_plan_items_keep(&feed->log);
+	cm_item_log_end(&feed->log, revision, cm_clock_ms(), apply, feed);
+	pthread_mutex_unlock(&feed->lock);
 }
 
-void cm_feed_wake(struct cm_feed *feed)
+static void told_changes(void *user, uint64_t revision)
 {
+	struct cm_feed *feed = user;
+	uint64_t now_ms = cm_clock_ms();
+
 	pthread_mutex_lock(&feed->lock);
-	end_pause(feed);
+	cm_item_log_reached(&feed->log, revision);
+	if (now_ms >= feed->swept_ms + SWEEP_MS && now_ms > GONE_KEPT_MS) {
+		cm_item_log_sweep(&feed->log, now_ms - GONE_KEPT_MS);
+		feed->swept_ms = now_ms;
+	}
 	pthread_mutex_unlock(&feed->lock);
 }
 
-/* Return: whether what the source knows will do. */
-static bool judge_source(struct cm_feed *feed, uint64_t now_ms,
-			 const struct cm_endpoint *from,
-			 const struct cm_message_items *items, bool is_behind)
+struct cm_registry_sink cm_feed_sink(struct cm_feed *feed, bool is_all)
 {
-	bool is_good;
+	const struct cm_registry_sink sink = {
+		.server = told_server,
+		.server_gone = told_server_gone,
+		.plan = told_plan,
+		.domain_out = told_domain_out,
+		.members = told_members,
+		.members_gone = told_members_gone,
+		.bad_item = told_bad_item,
+		.reached = is_all ? told_all : told_changes,
+		.user = feed,
+	};
 
-	/* An answer that comes late is not of the one that is asked now. */
-	if (!cm_endpoint_equal(from, &feed->asked))
-		return !is_behind && items->age_ms <= feed->source.age_max_ms;
-	is_good = cm_feed_source_answered(&feed->source, now_ms, items->age_ms,
-					  is_behind);
-	if (!*feed->source.name)
-		end_pause(feed);
-	return is_good;
+	return sink;
 }
 
-/* What the other instance knows is as old as its word of the registry. */
-void cm_feed_take(struct cm_feed *feed, uint64_t now_ms,
-		  const struct cm_endpoint *from,
-		  const struct cm_message_items *items)
+void cm_feed_heard(struct cm_feed *feed, uint64_t now_ms)
 {
-	bool is_behind, is_good;
+	pthread_mutex_lock(&feed->lock);
+	feed->is_lost = false;
+	feed->is_confirmed = true;
+	pthread_mutex_unlock(&feed->lock);
+	cm_steer_heard(feed->steer, now_ms);
+}
 
+void cm_feed_lost(struct cm_feed *feed)
+{
 	pthread_mutex_lock(&feed->lock);
-	if (feed->asked_ms)
-		cm_histograms_add(&feed->steer->histograms, CM_H_SOURCE_ANSWER,
-				  now_ms - feed->asked_ms);
-	feed->asked_ms = 0;
-	is_behind = !items->revision || items->revision < feed->log.revision;
-	is_good = judge_source(feed, now_ms, from, items, is_behind);
-	if (is_good && now_ms > items->age_ms) {
-		feed->is_lost = false;
-		cm_steer_heard(feed->steer, now_ms - items->age_ms);
-	}
-	if (items->age_ms == CM_FEED_LOST)
-		cm_steer_lost(feed->steer);
-	if (!is_behind)
-		take_items(feed, items);
+	feed->is_lost = true;
 	pthread_mutex_unlock(&feed->lock);
-	cm_steer_doubt(feed->steer, now_ms, items->suspects.tokens,
-		       items->suspects.count);
-	cm_steer_warn(feed->steer, now_ms, items->failing.tokens,
-		      items->failing.count);
+	cm_steer_lost(feed->steer);
 }
 
-/**
- * struct answer - an answer that is being made
- * @items: the items
- * @at: number of items so far
- * @error: the first error
- */
-struct answer {
-	struct cm_message_items *items;
-	uint32_t at;
-	int error;
-};
+/* An outage of the registry is no reason to ask it, a silent source is. */
+static bool is_alone(const struct cm_feed *feed, uint64_t now_ms)
+{
+	return feed->is_confirmed && !feed->is_lost && feed->alone_ms &&
+	       now_ms >= cm_steer_heard_ms(feed->steer) + feed->alone_ms;
+}
 
-static void count_item(void *user, const struct cm_item *item)
+bool cm_feed_source(struct cm_feed *feed, uint64_t now_ms,
+		    struct cm_peer_entry *source)
 {
-	struct answer *answer = user;
+	bool may_ask;
 
-	(void)item;
-	answer->at++;
+	pthread_mutex_lock(&feed->lock);
+	may_ask = feed->log.revision && !is_alone(feed, now_ms) &&
+		  cm_steer_source(feed->steer, feed->self.name, now_ms,
+				  &feed->source, source) &&
+		  cm_feed_source_may_ask(&feed->source, source->name, now_ms);
+	if (may_ask) {
+		feed->asked_ms = now_ms;
+		feed->asked = source->control;
+	}
+	pthread_mutex_unlock(&feed->lock);
+	return may_ask;
 }
 
-static void copy_item(void *user, const struct cm_item *item)
+bool cm_feed_leads(struct cm_feed *feed, uint64_t now_ms)
 {
-	struct answer *answer = user;
-	struct cm_message_item *copy = &answer->items->items[answer->at++];
-	int error = cm_message_item_set(copy, item->key, strlen(item->key),
-					item->value, item->size);
+	struct cm_peer_entry other;
+	bool leads;
 
-	copy->revision = item->revision;
-	copy->is_gone = item->is_gone;
-	if (error && !answer->error)
-		answer->error = error;
+	pthread_mutex_lock(&feed->lock);
+	cm_roster_see(&feed->roster, now_ms, &feed->self);
+	leads = feed->members_revision ?
+			cm_roster_is_first(&feed->roster, feed->self.name) :
+			!cm_steer_source(feed->steer, feed->self.name, now_ms,
+					 &feed->source, &other);
+	pthread_mutex_unlock(&feed->lock);
+	return leads;
 }
 
-static int copy_items(const struct cm_item_log *log, uint64_t after,
-		      struct cm_message_items *items)
+bool cm_feed_has_entry(struct cm_feed *feed)
 {
-	struct answer answer = { .items = items };
-	int error;
+	bool has_entry;
 
-	cm_item_log_tell(log, after, count_item, &answer);
-	error = cm_message_items_reserve(items, answer.at);
-	if (error)
-		return error;
-	answer.at = 0;
-	cm_item_log_tell(log, after, copy_item, &answer);
-	return answer.error;
+	pthread_mutex_lock(&feed->lock);
+	has_entry = feed->members_revision > 0;
+	pthread_mutex_unlock(&feed->lock);
+	return has_entry;
 }
 
-/* Adds what the other instance suspects, and tells what all suspect. */
-static void exchange_suspects(struct cm_feed *feed, uint64_t now_ms,
-			      const struct cm_message_tokens *theirs,
-			      struct cm_message_tokens *all)
+uint32_t cm_feed_members_due(struct cm_feed *feed, uint64_t now_ms, bool must,
+			     struct cm_peer_entry *entries, uint64_t *revision)
 {
-	uint32_t own[CM_SUSPECT_LIST_MAX];
-	uint32_t count =
-		cm_steer_suspects(feed->steer, own, CM_SUSPECT_LIST_MAX);
+	uint32_t count = 0;
 
-	cm_suspect_list_add(&feed->suspects, now_ms, own, count);
-	cm_suspect_list_add(&feed->suspects, now_ms, theirs->tokens,
-			    theirs->count);
-	all->count = cm_suspect_list_read(&feed->suspects, now_ms, all->tokens);
+	pthread_mutex_lock(&feed->lock);
+	cm_roster_see(&feed->roster, now_ms, &feed->self);
+	cm_roster_expire(&feed->roster, now_ms);
+	if (must || cm_roster_is_due(&feed->roster, now_ms)) {
+		count = cm_roster_read(&feed->roster, entries);
+		feed->roster.written_ms = now_ms;
+	}
+	*revision = feed->members_revision;
+	pthread_mutex_unlock(&feed->lock);
+	return count;
 }
 
-/* Adds the failures that the other instance saw to all others. */
-static void exchange_failures(struct cm_feed *feed, uint64_t now_ms,
-			      const struct cm_message_tokens *theirs,
-			      struct cm_message_tokens *failing)
+bool cm_feed_is_searching(struct cm_feed *feed)
 {
-	uint32_t own[CM_STEER_FAILURES_MAX];
-	uint32_t count = cm_steer_take_failures(feed->steer, own);
+	bool is_searching;
 
-	cm_failure_tally_add(&feed->failures, now_ms, own, count);
-	cm_failure_tally_add(&feed->failures, now_ms, theirs->tokens,
-			     theirs->count);
-	failing->count =
-		cm_failure_tally_read(&feed->failures, now_ms, failing->tokens);
+	pthread_mutex_lock(&feed->lock);
+	is_searching = !feed->source.is_proven;
+	pthread_mutex_unlock(&feed->lock);
+	return is_searching;
 }
 
-int cm_feed_answer(struct cm_feed *feed, uint64_t now_ms,
-		   const struct cm_message_items_request *request,
-		   struct cm_message_items *items)
+void cm_feed_pause(struct cm_feed *feed, uint32_t pause_ms)
 {
-	uint64_t heard_ms = cm_steer_heard_ms(feed->steer);
-	uint64_t after = request->after;
-	int error = CM_OK;
+	struct timespec end = cm_condition_end(pause_ms);
 
 	pthread_mutex_lock(&feed->lock);
-	items->revision = feed->log.revision;
-	items->age_ms = now_ms > heard_ms ? now_ms - heard_ms : 0;
-	if (feed->is_lost)
-		items->age_ms = CM_FEED_LOST;
-	items->is_all = items->revision > after &&
-			!cm_item_log_can_tell(&feed->log, after);
-	if (items->revision > after)
-		error = copy_items(&feed->log, items->is_all ? 0 : after,
-				   items);
-	exchange_suspects(feed, now_ms, &request->suspects, &items->suspects);
-	exchange_failures(feed, now_ms, &request->failures, &items->failing);
+	while (feed->turns == feed->turns_seen &&
+	       !pthread_cond_timedwait(&feed->turned, &feed->lock, &end))
+		;
+	feed->turns_seen = feed->turns;
+	pthread_mutex_unlock(&feed->lock);
+}
+
+void cm_feed_wake(struct cm_feed *feed)
+{
+	pthread_mutex_lock(&feed->lock);
+	feed->turns++;
+	pthread_cond_signal(&feed->turned);
 	pthread_mutex_unlock(&feed->lock);
-	cm_steer_doubt(feed->steer, now_ms, request->suspects.tokens,
-		       request->suspects.count);
-	cm_steer_warn(feed->steer, now_ms, items->failing.tokens,
-		      items->failing.count);
-	return error;
 }
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -1,28 +1,51 @@
 /**
- * DOC: What an instance that steers by token hears of the registry
+ * DOC: Copy of the registry of an instance that steers by token
  *
- * Keeps a copy of the registry, whether its items come from the registry itself
- * or from another instance, gives what they mean to the node, and answers other
- * instances from the copy.
+ * Keeps what the registry holds as items (feed.c), applies them to the node
+ * (feed_events.c) and exchanges them with other instances of the failure domain
+ * (feed_exchange.c). Entries come from the registry itself or from the source,
+ * the instance that is asked in its place; registry_loop.c decides which one.
  */
 #ifndef DAEMON_FEED_H
 #define DAEMON_FEED_H
 
 #include <pthread.h>
 
+#include "chervilmast/failure_tally.h"
 #include "chervilmast/feed_source.h"
+#include "chervilmast/item_log.h"
 #include "chervilmast/message.h"
+#include "chervilmast/roster.h"
 #include "chervilmast/steer.h"
-#include "chervilmast/failure_tally.h"
 #include "chervilmast/suspect_list.h"
 #include "ports/registry.h"
 
 /**
- * struct cm_feed - what an instance hears of the registry
+ * struct cm_feed_snapshot - a snapshot that another instance gives in parts
+ * @of: incarnation of that instance; 0 while none is given
+ * @after: revision up to which its items have come
+ * @began_ms: when its first part came
+ */
+struct cm_feed_snapshot {
+	uint64_t of;
+	uint64_t after;
+	uint64_t began_ms;
+};
+
+/**
+ * struct cm_feed - copy of the registry
  * @steer: the node
- * @ops: what the registry's items mean
+ * @self: entry of this instance
+ * @incarnation: of this instance; differs from start to start
+ * @alone_ms: age of the registry's word from which the registry itself is asked
  * @lock: guards all below
- * @log: copy of the registry
+ * @log: the items
+ * @version: version of the plan that was put in force; 0 for none
+ * @snapshot: snapshot in progress
+ * @roster: members of the failure domain
+ * @members_revision: revision of their entry in the registry; 0 for none
+ * @has_plan: the snapshot of the registry has a plan
+ * @listed: room for a list of members
  * @source: what was made of the instance that is asked
  * @asked: where it answers
  * @turned: signalled when the source is passed over
@@ -32,13 +55,22 @@
  * @suspects: servers that instances of the failure domain suspect
  * @failures: flows that instances of the failure domain saw fail
  * @is_lost: the registry did not answer this instance last
+ * @is_confirmed: what is known was current at some time
  * @swept_ms: when the copy was last swept
  */
 struct cm_feed {
 	struct cm_steer *steer;
-	const struct cm_registry_ops *ops;
+	struct cm_peer_entry self;
+	uint64_t incarnation;
+	uint64_t alone_ms;
 	pthread_mutex_t lock;
 	struct cm_item_log log;
+	uint64_t version;
+	struct cm_feed_snapshot snapshot;
+	struct cm_roster roster;
+	uint64_t members_revision;
+	bool has_plan;
+	struct cm_peer_entry listed[CM_ROSTER_MAX];
 	struct cm_feed_source source;
 	struct cm_endpoint asked;
 	pthread_cond_t turned;
@@ -48,18 +80,32 @@
 	struct cm_suspect_list suspects;
 	struct cm_failure_tally failures;
 	bool is_lost;
+	bool is_confirmed;
 	uint64_t swept_ms;
 };
 
+/**
+ * struct cm_feed_config - settings of a copy
+ * @self: entry of this instance
+ * @incarnation: of this instance; differs from start to start, not 0
+ * @age_max_ms: oldest word of another instance that will do
+ * @alone_ms: age of the registry's word from which the registry itself is asked
+ */
+struct cm_feed_config {
+	struct cm_peer_entry self;
+	uint64_t incarnation;
+	uint64_t age_max_ms;
+	uint64_t alone_ms;
+};
+
 /**
  * cm_feed_init() - begin with an empty copy
  * @feed: memory of the caller
  * @steer: the node
- * @ops: what the registry's items mean
- * @age_max_ms: oldest word of another instance that will do
+ * @config: settings; copied
  */
 void cm_feed_init(struct cm_feed *feed, struct cm_steer *steer,
-		  const struct cm_registry_ops *ops, uint64_t age_max_ms);
+		  const struct cm_feed_config *config);
 
 /**
  * cm_feed_finish() - free the copy
@@ -75,6 +121,14 @@
  */
 uint64_t cm_feed_revision(struct cm_feed *feed);
 
+/**
+ * cm_feed_is_confirmed() - whether what is known was current at some time
+ * @feed: the feed
+ *
+ * Return: false before the first answer that was not allowed to be stale.
+ */
+bool cm_feed_is_confirmed(struct cm_feed *feed);
+
 /**
  * cm_feed_begin() - all items of the registry are about to be told
  * @feed: the feed
@@ -106,15 +160,48 @@
 /**
  * cm_feed_source() - the instance to ask in place of the registry
  * @feed: the feed
- * @self: name of this instance
  * @now_ms: current time
  * @source: set to the instance, which then counts as asked
  *
- * Return: false when the registry is to be asked.
+ * Return: false when the registry is to be asked: this instance is the first of
+ * those that are not passed over, or what it knows is too old to go on asking
+ * others.
  */
-bool cm_feed_source(struct cm_feed *feed, const char *self, uint64_t now_ms,
+bool cm_feed_source(struct cm_feed *feed, uint64_t now_ms,
 		    struct cm_peer_entry *source);
 
+/**
+ * cm_feed_leads() - whether this instance is to enter the members
+ * @feed: the feed
+ * @now_ms: current time
+ *
+ * Return: true for the first member in the registry, and while the registry has
+ * no entry of the failure domain.
+ */
+bool cm_feed_leads(struct cm_feed *feed, uint64_t now_ms);
+
+/**
+ * cm_feed_has_entry() - whether the registry has an entry of the members
+ * @feed: the feed
+ *
+ * Return: true when there is one, as far as is known.
+ */
+bool cm_feed_has_entry(struct cm_feed *feed);
+
+/**
+ * cm_feed_members_due() - members that the registry should be told
+ * @feed: the feed
+ * @now_ms: current time
+ * @must: the registry has to be told, also when the members are the same
+ * @entries: room for CM_ROSTER_MAX; set
+ * @revision: set to the revision of the entry that they replace
+ *
+ * Return: number of @entries; 0 when nothing is due. The write then counts as
+ * begun.
+ */
+uint32_t cm_feed_members_due(struct cm_feed *feed, uint64_t now_ms, bool must,
+			     struct cm_peer_entry *entries, uint64_t *revision);
+
 /**
  * cm_feed_is_searching() - whether the source has not answered well yet
  * @feed: the feed
@@ -142,9 +229,10 @@
 /**
  * cm_feed_request() - what to ask the source
  * @feed: the feed
+ * @now_ms: current time
  * @request: set
  */
-void cm_feed_request(struct cm_feed *feed,
+void cm_feed_request(struct cm_feed *feed, uint64_t now_ms,
 		     struct cm_message_items_request *request);
 
 /**
@@ -152,22 +240,28 @@
  * @feed: the feed
  * @now_ms: current time
  * @from: where it answers
+ * @incarnation: its incarnation
  * @items: its answer
+ *
+ * Return: 0; CM_E_STALE for a part out of its order, or of another snapshot,
+ * which changes nothing.
  */
-void cm_feed_take(struct cm_feed *feed, uint64_t now_ms,
-		  const struct cm_endpoint *from,
-		  const struct cm_message_items *items);
+int cm_feed_take(struct cm_feed *feed, uint64_t now_ms,
+		 const struct cm_endpoint *from, uint64_t incarnation,
+		 const struct cm_message_items *items);
 
 /**
  * cm_feed_answer() - answer another instance
  * @feed: the feed
  * @now_ms: current time
+ * @from: its entry, without the rank
  * @request: what it asked
  * @items: an empty array; set
  *
  * Return: 0, CM_E_MEMORY or CM_E_TOO_LARGE.
  */
 int cm_feed_answer(struct cm_feed *feed, uint64_t now_ms,
+		   const struct cm_peer_entry *from,
 		   const struct cm_message_items_request *request,
 		   struct cm_message_items *items);
 
--- a/src/daemon/feed_events.c
+++ b/src/daemon/feed_events.c
@@ -1,5 +1,7 @@
 #include "feed_events.h"
 
+#include "adapters/plan_items.h"
+#include "adapters/registry_item.h"
 #include "adapters/socket.h"
 #include "chervilmast/error.h"
 #include "log.h"
@@ -7,8 +9,9 @@
 
 static void take_server(void *user, const struct cm_server_entry *entry)
 {
+	const struct cm_feed *feed = user;
 	char address[CM_ENDPOINT_TEXT_SIZE];
-	int error = cm_steer_put_server(user, cm_clock_ms(), entry);
+	int error = cm_steer_put_server(feed->steer, cm_clock_ms(), entry);
 
 	cm_log(CM_EVENT_SERVER_ENTRY,
 	       "server=%llx service=%s failure_domain=%s at=%s draining=%d "
@@ -20,13 +23,16 @@
 
 static void take_server_gone(void *user, uint64_t id)
 {
-	cm_steer_remove_server(user, cm_clock_ms(), id);
+	const struct cm_feed *feed = user;
+
+	cm_steer_remove_server(feed->steer, cm_clock_ms(), id);
 	cm_log(CM_EVENT_SERVER_GONE, "server=%llx", (unsigned long long)id);
 }
 
 static void take_peer(void *user, const struct cm_peer_entry *entry)
 {
-	int error = cm_steer_put_peer(user, entry);
+	const struct cm_feed *feed = user;
+	int error = cm_steer_put_peer(feed->steer, entry);
 
 	cm_log(CM_EVENT_PEER_ENTRY, "peer=%s failure_domain=%s outcome=%s",
 	       entry->name, entry->domain, cm_error_name(error));
@@ -34,50 +40,58 @@
 
 static void take_peer_gone(void *user, const char *name)
 {
-	cm_steer_remove_peer(user, cm_clock_ms(), name);
+	const struct cm_feed *feed = user;
+
+	cm_steer_remove_peer(feed->steer, name);
 	cm_log(CM_EVENT_PEER_GONE, "peer=%s", name);
 }
 
-static void take_plan(void *user, struct cm_steer_plan *plan)
+static void take_plan(void *user, uint64_t version)
 {
-	uint64_t version = plan->version;
-	size_t routes = plan->route_count;
-	int error = cm_steer_set_plan(user, plan);
+	struct cm_feed *feed = user;
+	struct cm_steer_plan plan;
+	int error = cm_plan_items_read(&plan, &feed->log, version);
+	size_t routes = plan.route_count;
 
+	if (!error)
+		error = cm_steer_set_plan(feed->steer, &plan);
+	if (!error)
+		feed->version = version;
 	cm_log(CM_EVENT_PLAN, "version=%llu routes=%zu outcome=%s",
 	       (unsigned long long)version, routes, cm_error_name(error));
 }
 
 static void take_domain_out(void *user, const char *domain, bool is_out)
 {
-	int error =
-		cm_steer_set_domain_out(user, cm_clock_ms(), domain, is_out);
+	const struct cm_feed *feed = user;
+	int error = cm_steer_set_domain_out(feed->steer, cm_clock_ms(), domain,
+					    is_out);
 
 	cm_log(CM_EVENT_DOMAIN, "failure_domain=%s out=%d outcome=%s", domain,
 	       is_out, cm_error_name(error));
 }
 
-static void take_bad_item(void *user, const char *key, int error)
+void cm_feed_bad_item(struct cm_feed *feed, const char *key, int error)
 {
-	struct cm_steer *steer = user;
-
-	cm_counters_add(&steer->counters, CM_C_REGISTRY_BAD_ITEM);
+	cm_counters_add(&feed->steer->counters, CM_C_REGISTRY_BAD_ITEM);
 	cm_log(CM_EVENT_REGISTRY_BAD_ITEM, "key=%s error=%s", key,
 	       cm_error_name(error));
 }
 
-struct cm_registry_events cm_feed_events(struct cm_steer *steer)
+void cm_feed_apply(struct cm_feed *feed, const struct cm_item *item)
 {
 	const struct cm_registry_events events = {
 		.server = take_server,
 		.server_gone = take_server_gone,
-		.peer = take_peer,
-		.peer_gone = take_peer_gone,
 		.plan = take_plan,
 		.domain_out = take_domain_out,
-		.bad_item = take_bad_item,
-		.user = steer,
+		.peer = take_peer,
+		.peer_gone = take_peer_gone,
+		.user = feed,
 	};
+	int error = cm_registry_item_decode(item, &events);
 
-	return events;
+	cm_counters_add(&feed->steer->counters, CM_C_REGISTRY_ITEMS);
+	if (error)
+		cm_feed_bad_item(feed, item->key, error);
 }
--- a/src/daemon/feed_events.h
+++ b/src/daemon/feed_events.h
@@ -1,18 +1,24 @@
 /**
- * DOC: What the registry's items mean to a node that steers by token
+ * DOC: Items of the registry as events of the node
  */
 #ifndef DAEMON_FEED_EVENTS_H
 #define DAEMON_FEED_EVENTS_H
 
-#include "chervilmast/steer.h"
-#include "ports/registry.h"
+#include "feed.h"
 
 /**
- * cm_feed_events() - give what items mean to a node, and log it
- * @steer: the node
- *
- * Return: the functions to call.
+ * cm_feed_apply() - let the node know what an item means
+ * @feed: the copy; its lock is held
+ * @item: an item that changed
  */
-struct cm_registry_events cm_feed_events(struct cm_steer *steer);
+void cm_feed_apply(struct cm_feed *feed, const struct cm_item *item);
+
+/**
+ * cm_feed_bad_item() - count and log an item that can't be used
+ * @feed: the copy
+ * @key: its key
+ * @error: what is wrong with it
+ */
+void cm_feed_bad_item(struct cm_feed *feed, const char *key, int error);
 
 #endif
--- /dev/null
+++ b/src/daemon/feed_exchange.c
@@ -0,0 +1,307 @@
+#include "feed.h"
+
+#include <string.h>
+
+#include "chervilmast/error.h"
+#include "feed_events.h"
+#include "log.h"
+#include "ports/clock.h"
+
+/** Items after which a part of an answer ends: a part is taken in one go. */
+#define PART_ITEMS 256
+/** Longest time for which a snapshot is given, ms: shorter than items that went
+ * are remembered, so that none goes unnoticed between two parts. */
+#define SNAPSHOT_MOST_MS 30000
+
+void cm_feed_request(struct cm_feed *feed, uint64_t now_ms,
+		     struct cm_message_items_request *request)
+{
+	memcpy(request->name, feed->self.name, sizeof(request->name));
+	pthread_mutex_lock(&feed->lock);
+	if (now_ms >= feed->snapshot.began_ms + SNAPSHOT_MOST_MS)
+		feed->snapshot.of = 0;
+	request->snapshot_of = feed->snapshot.of;
+	request->after =
+		feed->snapshot.of ? feed->snapshot.after : feed->log.revision;
+	pthread_mutex_unlock(&feed->lock);
+	request->suspects.count = cm_steer_suspects(
+		feed->steer, request->suspects.tokens, CM_MESSAGE_TOKENS_MAX);
+	request->failures.count =
+		cm_steer_take_failures(feed->steer, request->failures.tokens);
+}
+
+static void take_item(struct cm_feed *feed, const struct cm_message_item *item)
+{
+	const struct cm_item *changed;
+
+	if (item->is_gone)
+		changed = cm_item_log_remove(&feed->log, item->key,
+					     item->revision, cm_clock_ms());
+	else
+		changed = cm_item_log_put(&feed->log, item->key, item->value,
+					  item->size, item->revision);
+	if (changed)
+		cm_feed_apply(feed, changed);
+}
+
+static void apply(void *user, const struct cm_item *item)
+{
+	cm_feed_apply(user, item);
+}
+
+static void end_part(struct cm_feed *feed, uint64_t incarnation,
+		     const struct cm_message_items *items)
+{
+	if (!feed->snapshot.of) {
+		cm_item_log_reached(&feed->log, items->revision);
+		return;
+	}
+	feed->snapshot.after = items->revision;
+	if (items->has_more)
+		return;
+	feed->snapshot.of = 0;
+	cm_item_log_end(&feed->log, items->revision, cm_clock_ms(), apply,
+			feed);
+	cm_log(CM_EVENT_SNAPSHOT, "of=%llx revision=%llu items=%u",
+	       (unsigned long long)incarnation,
+	       (unsigned long long)items->revision, feed->log.count);
+}
+
+/* What is known before the part, and which snapshot it continues. */
+static bool continues(const struct cm_feed *feed, uint64_t incarnation,
+		      const struct cm_message_items *items)
+{
+	if (feed->snapshot.of)
+		return incarnation == feed->snapshot.of &&
+		       items->after == feed->snapshot.after;
+	return items->after <= feed->log.revision;
+}
+
+static int take_items(struct cm_feed *feed, uint64_t now_ms,
+		      uint64_t incarnation,
+		      const struct cm_message_items *items)
+{
+	if (!items->is_all && !continues(feed, incarnation, items)) {
+		cm_counters_add(&feed->steer->counters, CM_C_FEED_BAD_PART);
+		return CM_E_STALE;
+	}
+	if (items->is_all) {
+		cm_item_log_begin(&feed->log);
+		feed->snapshot.of = incarnation;
+		feed->snapshot.began_ms = now_ms;
+	}
+	for (uint32_t i = 0; i < items->count; i++)
+		take_item(feed, &items->items[i]);
+	end_part(feed, incarnation, items);
+	return CM_OK;
+}
+
+static void end_pause(struct cm_feed *feed)
+{
+	feed->turns++;
+	pthread_cond_signal(&feed->turned);
+}
+
+/* Return: whether what the source knows will do. */
+static bool judge_source(struct cm_feed *feed, uint64_t now_ms,
+			 const struct cm_endpoint *from,
+			 const struct cm_message_items *items, bool is_behind)
+{
+	bool is_good;
+
+	/* An answer that comes late is not of the one that is asked now. */
+	if (!cm_endpoint_equal(from, &feed->asked))
+		return !is_behind && items->age_ms <= feed->source.age_max_ms;
+	is_good = cm_feed_source_answered(&feed->source, now_ms, items->age_ms,
+					  is_behind);
+	if (!*feed->source.name)
+		end_pause(feed);
+	return is_good;
+}
+
+/* What is known before the last part is not yet what the source knows. */
+static void note_age(struct cm_feed *feed, uint64_t now_ms,
+		     const struct cm_message_items *items, bool is_good)
+{
+	if (is_good && !items->has_more && now_ms > items->age_ms) {
+		feed->is_lost = false;
+		feed->is_confirmed = true;
+		cm_steer_heard(feed->steer, now_ms - items->age_ms);
+	}
+	if (items->age_ms == CM_FEED_LOST)
+		cm_steer_lost(feed->steer);
+}
+
+int cm_feed_take(struct cm_feed *feed, uint64_t now_ms,
+		 const struct cm_endpoint *from, uint64_t incarnation,
+		 const struct cm_message_items *items)
+{
+	bool is_behind, is_good;
+	int error = CM_OK;
+
+	pthread_mutex_lock(&feed->lock);
+	if (feed->asked_ms)
+		cm_histograms_add(&feed->steer->histograms, CM_H_SOURCE_ANSWER,
+				  now_ms - feed->asked_ms);
+	feed->asked_ms = 0;
+	is_behind = !items->revision || (!items->is_all && !feed->snapshot.of &&
+					 items->revision < feed->log.revision);
+	is_good = judge_source(feed, now_ms, from, items, is_behind);
+	if (!is_behind)
+		error = take_items(feed, now_ms, incarnation, items);
+	if (!error)
+		note_age(feed, now_ms, items, is_good);
+	pthread_mutex_unlock(&feed->lock);
+	cm_steer_doubt(feed->steer, now_ms, items->suspects.tokens,
+		       items->suspects.count);
+	cm_steer_warn(feed->steer, now_ms, items->failing.tokens,
+		      items->failing.count);
+	return error;
+}
+
+/**
+ * struct answer - an answer that is being made
+ * @items: the items
+ * @at: number of items so far
+ * @error: the first error
+ */
+struct answer {
+	struct cm_message_items *items;
+	uint32_t at;
+	int error;
+};
+
+static void add_item(void *user, const struct cm_item *item)
+{
+	struct answer *answer = user;
+	struct cm_message_item *copy;
+
+	if (answer->at == answer->items->count) {
+		answer->error = CM_E_TOO_LARGE;
+		return;
+	}
+	copy = &answer->items->items[answer->at++];
+	copy->revision = item->revision;
+	copy->is_gone = item->is_gone;
+	if (!answer->error)
+		answer->error =
+			cm_message_item_set(copy, item->key, strlen(item->key),
+					    item->value, item->size);
+}
+
+static void count_item(void *user, const struct cm_item *item)
+{
+	uint32_t *count = user;
+
+	(void)item;
+	(*count)++;
+}
+
+/* The items of a part, and how far they go. */
+static int add_part(struct cm_feed *feed, struct cm_message_items *items)
+{
+	struct answer answer = { .items = items };
+	uint32_t count = 0;
+	int error;
+
+	items->revision = cm_item_log_tell(&feed->log, items->after, PART_ITEMS,
+					   count_item, &count);
+	items->has_more = items->revision < feed->log.revision;
+	error = cm_message_items_reserve(items, count);
+	if (error)
+		return error;
+	cm_item_log_tell(&feed->log, items->after, PART_ITEMS, add_item,
+			 &answer);
+	return answer.error;
+}
+
+/* The snapshot that this instance is giving can be gone on with. */
+static bool goes_on(const struct cm_feed *feed,
+		    const struct cm_message_items_request *request)
+{
+	return request->snapshot_of == feed->incarnation;
+}
+
+static int add_items(struct cm_feed *feed,
+		     const struct cm_message_items_request *request,
+		     struct cm_message_items *items)
+{
+	items->revision = feed->log.in_snapshot ? 0 : feed->log.revision;
+	if (!items->revision)
+		return CM_OK;
+	items->after = request->after;
+	if (!goes_on(feed, request) &&
+	    (request->snapshot_of ||
+	     (items->revision > request->after &&
+	      !cm_item_log_can_tell(&feed->log, request->after)))) {
+		items->is_all = true;
+		items->after = 0;
+	}
+	if (items->revision <= items->after)
+		return CM_OK;
+	return add_part(feed, items);
+}
+
+/* Adds what the other instance suspects, and tells what all suspect. */
+static void exchange_suspects(struct cm_feed *feed, uint64_t now_ms,
+			      const struct cm_message_tokens *theirs,
+			      struct cm_message_tokens *all)
+{
+	uint32_t own[CM_SUSPECT_LIST_MAX];
+	uint32_t count =
+		cm_steer_suspects(feed->steer, own, CM_SUSPECT_LIST_MAX);
+
+	cm_suspect_list_add(&feed->suspects, now_ms, own, count);
+	cm_suspect_list_add(&feed->suspects, now_ms, theirs->tokens,
+			    theirs->count);
+	all->count = cm_suspect_list_read(&feed->suspects, now_ms, all->tokens);
+}
+
+/* Adds the failures that the other instance saw to all others. */
+static void exchange_failures(struct cm_feed *feed, uint64_t now_ms,
+			      const struct cm_message_tokens *theirs,
+			      struct cm_message_tokens *failing)
+{
+	uint32_t own[CM_STEER_FAILURES_MAX];
+	uint32_t count = cm_steer_take_failures(feed->steer, own);
+
+	cm_failure_tally_add(&feed->failures, now_ms, own, count);
+	cm_failure_tally_add(&feed->failures, now_ms, theirs->tokens,
+			     theirs->count);
+	failing->count =
+		cm_failure_tally_read(&feed->failures, now_ms, failing->tokens);
+}
+
+/* An instance that leaves sends those that ask it to the next one. */
+static uint64_t age_ms(struct cm_feed *feed, uint64_t now_ms)
+{
+	uint64_t heard_ms = cm_steer_heard_ms(feed->steer);
+
+	if (cm_steer_is_leaving(feed->steer))
+		return CM_FEED_LEAVES;
+	if (feed->is_lost)
+		return CM_FEED_LOST;
+	return now_ms > heard_ms ? now_ms - heard_ms : 0;
+}
+
+int cm_feed_answer(struct cm_feed *feed, uint64_t now_ms,
+		   const struct cm_peer_entry *from,
+		   const struct cm_message_items_request *request,
+		   struct cm_message_items *items)
+{
+	int error;
+
+	pthread_mutex_lock(&feed->lock);
+	if (!strcmp(from->domain, feed->self.domain))
+		cm_roster_see(&feed->roster, now_ms, from);
+	items->age_ms = age_ms(feed, now_ms);
+	error = add_items(feed, request, items);
+	exchange_suspects(feed, now_ms, &request->suspects, &items->suspects);
+	exchange_failures(feed, now_ms, &request->failures, &items->failing);
+	pthread_mutex_unlock(&feed->lock);
+	cm_steer_doubt(feed->steer, now_ms, request->suspects.tokens,
+		       request->suspects.count);
+	cm_steer_warn(feed->steer, now_ms, items->failing.tokens,
+		      items->failing.count);
+	return error;
+}
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -58,6 +58,10 @@
 	X(PLAN, INFO, "plan", "a plan came from the registry")                 \
 	X(REACHED, INFO, "reached",                                            \
 	  "a backend server was reached again after none had answered")        \
+	X(SNAPSHOT, INFO, "snapshot",                                          \
+	  "another instance gave a whole copy of the registry")                \
+	X(MEMBERS_WRITTEN, INFO, "members_written",                            \
+	  "the members of the failure domain were entered")                    \
 	X(REGISTRY_BAD_ITEM, WARNING, "registry_bad_item",                     \
 	  "an item of the registry can't be used")                             \
 	X(READY, INFO, "ready",                                                \
--- a/src/daemon/peer_loop.c
+++ b/src/daemon/peer_loop.c
@@ -11,31 +11,63 @@
 
 static void sign(const struct cm_peer_loop *loop, struct cm_message *message)
 {
-	message->sender = loop->self.control;
-	message->control = loop->self.control;
-	memcpy(message->domain, loop->self.domain, sizeof(message->domain));
+	message->incarnation = loop->feed->incarnation;
+	message->sender = loop->feed->self.control;
+	message->control = loop->feed->self.control;
+	memcpy(message->domain, loop->feed->self.domain,
+	       sizeof(message->domain));
 }
 
-static bool receive(void *user, const struct cm_message *message,
-		    struct cm_message *answer)
+static void make_request(struct cm_peer_loop *loop, struct cm_message *message)
 {
-	struct cm_peer_loop *loop = user;
-	uint64_t now_ms = cm_clock_ms();
+	cm_message_init(message, CM_MESSAGE_ITEMS_REQUEST);
+	sign(loop, message);
+	cm_feed_request(loop->feed, cm_clock_ms(), &message->items_request);
+}
 
-	if (message->kind == CM_MESSAGE_ITEMS)
-		cm_feed_take(loop->feed, now_ms, &message->control,
-			     &message->items);
-	if (message->kind != CM_MESSAGE_ITEMS_REQUEST)
+/* Return: whether @answer asks for the next part. */
+static bool take_items(struct cm_peer_loop *loop,
+		       const struct cm_message *message,
+		       struct cm_message *answer)
+{
+	int error = cm_feed_take(loop->feed, cm_clock_ms(), &message->control,
+				 message->incarnation, &message->items);
+
+	if (error || !message->items.has_more)
 		return false;
+	make_request(loop, answer);
+	return true;
+}
+
+static bool give_items(struct cm_peer_loop *loop,
+		       const struct cm_message *message,
+		       struct cm_message *answer)
+{
+	struct cm_peer_entry from = { .control = message->control };
+
+	memcpy(from.name, message->items_request.name, sizeof(from.name));
+	memcpy(from.domain, message->domain, sizeof(from.domain));
 	cm_message_init(answer, CM_MESSAGE_ITEMS);
 	sign(loop, answer);
-	if (!cm_feed_answer(loop->feed, now_ms, &message->items_request,
-			    &answer->items))
+	if (!cm_feed_answer(loop->feed, cm_clock_ms(), &from,
+			    &message->items_request, &answer->items))
 		return true;
 	cm_message_finish(answer);
 	return false;
 }
 
+static bool receive(void *user, const struct cm_message *message,
+		    struct cm_message *answer)
+{
+	struct cm_peer_loop *loop = user;
+
+	if (message->kind == CM_MESSAGE_ITEMS)
+		return take_items(loop, message, answer);
+	if (message->kind == CM_MESSAGE_ITEMS_REQUEST)
+		return give_items(loop, message, answer);
+	return false;
+}
+
 static void *peer_thread(void *user)
 {
 	struct cm_peer_loop *loop = user;
@@ -47,16 +79,14 @@
 	return NULL;
 }
 
-int cm_peer_loop_init(struct cm_peer_loop *loop, struct cm_feed *feed,
-		      const struct cm_peer_entry *self)
+int cm_peer_loop_init(struct cm_peer_loop *loop, struct cm_feed *feed)
 {
 	const struct cm_peers_handler handler = { receive, loop };
 	int error;
 
 	memset(loop, 0, sizeof(*loop));
 	loop->feed = feed;
-	loop->self = *self;
-	error = cm_peer_tcp_init(&loop->peers, &self->control, &handler,
+	error = cm_peer_tcp_init(&loop->peers, &feed->self.control, &handler,
 				 &feed->steer->counters);
 	if (error && error != CM_E_BIND)
 		return error;
@@ -72,9 +102,7 @@
 	struct cm_message message;
 	int error;
 
-	cm_message_init(&message, CM_MESSAGE_ITEMS_REQUEST);
-	sign(loop, &message);
-	cm_feed_request(loop->feed, &message.items_request);
+	make_request(loop, &message);
 	error = peers->ops->send(peers, to, &message);
 	cm_message_finish(&message);
 	return error;
--- a/src/daemon/peer_loop.h
+++ b/src/daemon/peer_loop.h
@@ -15,14 +15,12 @@
 /**
  * struct cm_peer_loop - messages between instances
  * @feed: what is heard of the registry
- * @self: entry of this instance
  * @peers: connections to other instances
  * @stopping: set to stop the thread
  * @thread: the thread
  */
 struct cm_peer_loop {
 	struct cm_feed *feed;
-	struct cm_peer_entry self;
 	struct cm_peer_tcp peers;
 	uint32_t stopping;
 	pthread_t thread;
@@ -32,12 +30,10 @@
  * cm_peer_loop_init() - start the thread
  * @loop: memory of the caller
  * @feed: what is heard of the registry
- * @self: entry of this instance
  *
  * Return: 0, CM_E_IO or CM_E_MEMORY.
  */
-int cm_peer_loop_init(struct cm_peer_loop *loop, struct cm_feed *feed,
-		      const struct cm_peer_entry *self);
+int cm_peer_loop_init(struct cm_peer_loop *loop, struct cm_feed *feed);
 
 /**
  * cm_peer_loop_ask() - ask an instance for what changed; from any thread
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -1,6 +1,7 @@
 #include "registry_loop.h"
 
 #include <ck_pr.h>
+#include <string.h>
 
 #include "chervilmast/error.h"
 #include "condition.h"
@@ -20,10 +21,14 @@
 #define ASK_EACH_MS 10
 /** Time between questions while no source has answered well, ms. */
 #define SEARCH_MS 120
-/** Time between renewals of the node's own entry, ms. */
-#define ANNOUNCE_MS (CM_REGISTRY_ENTRY_MS / 3)
-/** Time to the next try to renew it after one that failed, ms. */
-#define ANNOUNCE_RETRY_MS 1000
+/** Time between renewals of the entry of the members, ms. */
+#define KEEP_MS (CM_REGISTRY_MEMBERS_MS / 3)
+/** Instances that start together enter the members at times that differ by so
+ * much, ms: the first one is enough. */
+#define FIRST_ENTRY_SPREAD_MS 400
+/** Time between looks whether flows can be placed, before the first read has
+ * ended, ms. */
+#define FIRST_CHECK_MS 20
 /** Longest wait for changes in the first call after a pause or a failure, ms.
  */
 #define FIRST_WAIT_MS 20
@@ -63,6 +68,14 @@
 			  cm_clock_ms() - begin_ms);
 }
 
+static void note_tried(struct cm_registry_loop *loop)
+{
+	pthread_mutex_lock(&loop->lock);
+	loop->is_tried = true;
+	pthread_cond_broadcast(&loop->tried);
+	pthread_mutex_unlock(&loop->lock);
+}
+
 static int read_all(struct cm_registry_loop *loop)
 {
 	const struct cm_registry_sink sink = cm_feed_sink(loop->feed, true);
@@ -71,7 +84,8 @@
 
 	cm_counters_add(&loop->feed->steer->counters, CM_C_REGISTRY_SNAPSHOTS);
 	cm_feed_begin(loop->feed);
-	error = loop->registry->ops->read(loop->registry, &sink);
+	error = loop->registry->ops->read(
+		loop->registry, !cm_feed_is_confirmed(loop->feed), &sink);
 	time_call(loop, CM_H_STORE_READ, begin_ms);
 	return error;
 }
@@ -92,31 +106,61 @@
 static int call_registry(struct cm_registry_loop *loop)
 {
 	uint64_t known = cm_feed_revision(loop->feed);
-	int error = known ? wait_for_changes(loop, known) : CM_E_COMPACTED;
+	int error = known ? wait_for_changes(loop, known) : read_all(loop);
 
 	if (error == CM_E_COMPACTED)
 		error = read_all(loop);
 	return error;
 }
 
-/* An entry that has gone is entered anew at once. */
-static void announce(struct cm_registry_loop *loop)
+/* Return: whether the entry of the members has to be made anew. */
+static bool keep_members(struct cm_registry_loop *loop, uint64_t now_ms)
 {
-	uint64_t now_ms = cm_clock_ms();
 	int error;
 
-	if (now_ms < loop->announce_ms)
+	if (now_ms < loop->keep_ms)
+		return false;
+	error = loop->registry->ops->keep_members(loop->registry);
+	time_call(loop, CM_H_STORE_ENTRY, now_ms);
+	if (!error)
+		loop->keep_ms = now_ms + KEEP_MS;
+	return error == CM_E_NOT_FOUND;
+}
+
+static void write_members(struct cm_registry_loop *loop, uint64_t now_ms,
+			  bool must)
+{
+	static struct cm_peer_entry entries[CM_ROSTER_MAX];
+	const struct cm_registry_sink sink = cm_feed_sink(loop->feed, false);
+	struct cm_domain_members members = { .entries = entries };
+	uint64_t revision;
+	int error;
+
+	members.count = cm_feed_members_due(loop->feed, now_ms, must, entries,
+					    &revision);
+	if (!members.count)
 		return;
-	error = loop->registry->ops->announce(loop->registry,
-					      &loop->peers->self);
-	if (error == CM_E_NOT_FOUND)
-		error = loop->registry->ops->announce(loop->registry,
-						      &loop->peers->self);
+	memcpy(members.domain, loop->settings->domain, sizeof(members.domain));
+	error = loop->registry->ops->write_members(loop->registry, &members,
+						   revision, &sink);
 	time_call(loop, CM_H_STORE_ENTRY, now_ms);
-	loop->announce_ms = now_ms + (error ? ANNOUNCE_RETRY_MS : ANNOUNCE_MS);
-	if (error)
-		cm_log(CM_EVENT_ANNOUNCE_FAILED, "error=%s",
-		       cm_error_name(error));
+	if (!error)
+		loop->keep_ms = now_ms + KEEP_MS;
+	cm_log(CM_EVENT_MEMBERS_WRITTEN, "members=%u replaces=%llu outcome=%s",
+	       members.count, (unsigned long long)revision,
+	       cm_error_name(error));
+}
+
+/* One instance of the failure domain enters all that ask it. */
+static void tend_members(struct cm_registry_loop *loop)
+{
+	uint64_t now_ms = cm_clock_ms();
+
+	if (!loop->is_confirmed || !cm_feed_leads(loop->feed, now_ms))
+		return;
+	if (now_ms < loop->first_entry_ms && !cm_feed_has_entry(loop->feed))
+		return;
+	write_members(loop, now_ms, keep_members(loop, now_ms));
 }
 
 /* While nothing is known, instances of any failure domain may help. */
@@ -128,18 +172,10 @@
 	if (!settings->seed_count || cm_feed_revision(loop->feed))
 		return;
 	seed = &settings->seeds[loop->next_seed++ % settings->seed_count];
-	if (!cm_endpoint_equal(seed, &loop->peers->self.control))
+	if (!cm_endpoint_equal(seed, &loop->feed->self.control))
 		cm_peer_loop_ask(loop->peers, seed);
 }
 
-static void note_tried(struct cm_registry_loop *loop)
-{
-	pthread_mutex_lock(&loop->lock);
-	loop->is_tried = true;
-	pthread_cond_broadcast(&loop->tried);
-	pthread_mutex_unlock(&loop->lock);
-}
-
 static uint32_t next_retry_ms(struct cm_registry_loop *loop)
 {
 	uint32_t retry_ms = loop->retry_ms;
@@ -149,19 +185,26 @@
 	return retry_ms;
 }
 
-/* Return: pause until the next step, ms. */
+/*
+ * Return: pause until the next step, ms. The first read may be stale: the next
+ * step follows at once and tells what has changed.
+ */
 static uint32_t step_registry(struct cm_registry_loop *loop)
 {
+	bool is_first = !cm_feed_revision(loop->feed);
 	int error = call_registry(loop);
 
-	note_answer(loop, error);
-	loop->is_confirmed = !error;
+	if (!is_first || error)
+		note_answer(loop, error);
+	loop->is_confirmed = !error && !is_first;
 	if (error)
 		ask_seed(loop);
 	note_tried(loop);
-	if (!error)
-		loop->retry_ms = RETRY_MS;
-	return error ? next_retry_ms(loop) : PAUSE_MS;
+	if (error)
+		return next_retry_ms(loop);
+	loop->retry_ms = RETRY_MS;
+	tend_members(loop);
+	return is_first ? 0 : PAUSE_MS;
 }
 
 /* Asks the source; the answer comes by the thread of the peers. */
@@ -183,15 +226,12 @@
 	struct cm_peer_entry source;
 	uint32_t pause_ms;
 
-	if (cm_feed_source(loop->feed, loop->peers->self.name, cm_clock_ms(),
-			   &source))
+	if (cm_feed_source(loop->feed, cm_clock_ms(), &source))
 		pause_ms = step_source(loop, &source);
 	else
 		pause_ms = step_registry(loop);
 	if (ck_pr_load_32(&loop->stopping))
 		return;
-	if (cm_feed_revision(loop->feed) && loop->is_reachable)
-		announce(loop);
 	count_calls(loop);
 	cm_feed_pause(loop->feed, pause_ms);
 }
@@ -209,6 +249,9 @@
 {
 	loop->is_reachable = true;
 	loop->retry_ms = RETRY_MS;
+	loop->first_entry_ms =
+		cm_clock_ms() + cm_steer_name_hash(loop->settings->name) %
+					FIRST_ENTRY_SPREAD_MS;
 	pthread_mutex_init(&loop->lock, NULL);
 	cm_condition_init(&loop->tried);
 	if (pthread_create(&loop->thread, NULL, registry_thread, loop))
@@ -216,15 +259,19 @@
 	return CM_OK;
 }
 
+/* New flows need not wait for more than a plan and a server. */
 void cm_registry_loop_wait_first(struct cm_registry_loop *loop,
 				 uint32_t most_ms)
 {
-	struct timespec end = cm_condition_end(most_ms);
+	uint64_t end_ms = cm_clock_ms() + most_ms;
 
 	pthread_mutex_lock(&loop->lock);
-	while (!loop->is_tried &&
-	       !pthread_cond_timedwait(&loop->tried, &loop->lock, &end))
-		;
+	while (!loop->is_tried && cm_clock_ms() < end_ms &&
+	       !cm_steer_can_place(loop->feed->steer)) {
+		struct timespec end = cm_condition_end(FIRST_CHECK_MS);
+
+		pthread_cond_timedwait(&loop->tried, &loop->lock, &end);
+	}
 	pthread_mutex_unlock(&loop->lock);
 }
 
--- a/src/daemon/registry_loop.h
+++ b/src/daemon/registry_loop.h
@@ -22,7 +22,8 @@
  * @registry: the registry
  * @settings: settings of the process
  * @wait_ms: longest wait for changes in one call
- * @announce_ms: when the node's entry is to be kept next
+ * @keep_ms: when the entry of the members is to be kept next
+ * @first_entry_ms: when this node may make that entry if there is none
  * @is_reachable: the last call to the registry was answered
  * @is_confirmed: the registry answered the call before
  * @retry_ms: pause after the next call that fails
@@ -40,7 +41,8 @@
 	struct cm_registry *registry;
 	const struct cm_steer_settings *settings;
 	uint32_t wait_ms;
-	uint64_t announce_ms;
+	uint64_t keep_ms;
+	uint64_t first_entry_ms;
 	bool is_reachable;
 	bool is_confirmed;
 	uint32_t retry_ms;
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -27,6 +27,9 @@
 #define AGE_EXTRA_MS 1200
 /** What another instance tells has to be so much newer than a bound, ms. */
 #define AGE_MARGIN_MS 600
+/** What an instance that no source answers has to know in time before a bound,
+ * ms: a call to the registry and its trouble. */
+#define ALONE_MARGIN_MS 500
 /** Part of a bound that is left for packets on their way, ms. */
 #define DOMAIN_OUT_MARGIN_MS 500
 /**
@@ -111,6 +114,15 @@
 	return part_ms < WAIT_MOST_MS ? part_ms : WAIT_MOST_MS;
 }
 
+/* Age of the registry's word from which an instance asks the registry itself.
+ */
+static uint32_t alone_ms(const struct cm_steer_settings *settings)
+{
+	uint32_t bound_ms = shortest_bound_ms(settings);
+
+	return bound_ms > ALONE_MARGIN_MS ? bound_ms - ALONE_MARGIN_MS : 1;
+}
+
 /* Oldest word of another instance that will do. */
 static uint32_t age_max_ms(const struct cm_steer_settings *settings)
 {
@@ -171,13 +183,8 @@
 
 static int start_peers(struct steer_entry *entry)
 {
-	const struct cm_steer_settings *settings = &entry->settings;
-	struct cm_peer_entry self = { .control = settings->control };
-	int error;
+	int error = cm_peer_loop_init(&entry->peers, &entry->feed);
 
-	memcpy(self.name, settings->name, sizeof(self.name));
-	memcpy(self.domain, settings->domain, sizeof(self.domain));
-	error = cm_peer_loop_init(&entry->peers, &entry->feed, &self);
 	if (error)
 		return error;
 	error = start_updates(entry);
@@ -186,17 +193,35 @@
 	return error;
 }
 
+static struct cm_feed_config
+feed_config(const struct cm_steer_settings *settings)
+{
+	struct cm_feed_config config = {
+		.self.control = settings->control,
+		.incarnation = cm_hash_mix(cm_steer_name_hash(settings->name),
+					   cm_clock_us()) |
+			       1,
+		.age_max_ms = age_max_ms(settings),
+		.alone_ms = alone_ms(settings),
+	};
+
+	memcpy(config.self.name, settings->name, sizeof(config.self.name));
+	memcpy(config.self.domain, settings->domain,
+	       sizeof(config.self.domain));
+	return config;
+}
+
 static int start_registry(struct steer_entry *entry)
 {
 	struct cm_registry *registry = &entry->registry.base;
+	struct cm_feed_config config = feed_config(&entry->settings);
 	int error = platform_registry_init(&entry->registry,
 					   entry->settings.store_url,
 					   entry->settings.store_timeout_ms);
 
 	if (error)
 		return error;
-	cm_feed_init(&entry->feed, &entry->steer, registry->ops,
-		     age_max_ms(&entry->settings));
+	cm_feed_init(&entry->feed, &entry->steer, &config);
 	error = start_peers(entry);
 	if (error) {
 		cm_feed_finish(&entry->feed);
--- a/src/daemon/tell_queue.h
+++ b/src/daemon/tell_queue.h
@@ -15,7 +15,7 @@
 #include "chervilmast/outbox.h"
 
 /** Most bindings and loads that wait. */
-#define CM_TELLS_MAX CM_MESSAGE_ITEMS_MAX
+#define CM_TELLS_MAX 4096
 
 /**
  * struct cm_tell - a binding or a load that waits
--- /dev/null
+++ b/tests/unit/test_registry_item.c
@@ -0,0 +1,301 @@
+#include "unit/suites.h"
+
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "adapters/plan_items.h"
+#include "adapters/registry_item.h"
+#include "chervilmast/error.h"
+
+/* What the items meant, as in "server 7f draining=1; ". */
+static char told[512];
+static struct cm_item_log copy;
+
+static void setup(void)
+{
+	told[0] = '\0';
+	cm_item_log_init(&copy);
+}
+
+static void teardown(void)
+{
+	cm_item_log_finish(&copy);
+}
+
+UNIT_CASE("feed", "registry items", setup, teardown, UNIT_TIMEOUT_S);
+
+#define TELL(...) \
+	snprintf(told + strlen(told), sizeof(told) - strlen(told), __VA_ARGS__)
+
+static void told_server(void *user, const struct cm_server_entry *entry)
+{
+	(void)user;
+	TELL("server %llx %s %s %x:%u slots=%u cold=%u draining=%d born=%llu; ",
+	     (unsigned long long)entry->id, entry->service, entry->domain,
+	     entry->address.address, entry->address.port, entry->slots,
+	     entry->cold_left_ms, entry->is_draining,
+	     (unsigned long long)entry->born_ms);
+}
+
+static void told_server_gone(void *user, uint64_t id)
+{
+	(void)user;
+	TELL("gone %llx; ", (unsigned long long)id);
+}
+
+static void told_plan(void *user, uint64_t version)
+{
+	(void)user;
+	TELL("plan %llu; ", (unsigned long long)version);
+}
+
+static void told_domain_out(void *user, const char *domain, bool is_out)
+{
+	(void)user;
+	TELL("domain %s out=%d; ", domain, is_out);
+}
+
+static void told_peer(void *user, const struct cm_peer_entry *entry)
+{
+	(void)user;
+	TELL("peer %s %s %x:%u rank=%llu; ", entry->name, entry->domain,
+	     entry->control.address, entry->control.port,
+	     (unsigned long long)entry->rank);
+}
+
+static void told_peer_gone(void *user, const char *name)
+{
+	(void)user;
+	TELL("peer gone %s; ", name);
+}
+
+static const struct cm_registry_events events = {
+	.server = told_server,
+	.server_gone = told_server_gone,
+	.plan = told_plan,
+	.domain_out = told_domain_out,
+	.peer = told_peer,
+	.peer_gone = told_peer_gone,
+};
+
+static int decode(const char *key, const char *value, size_t size, bool is_gone)
+{
+	const struct cm_item item = {
+		.key = (char *)key,
+		.value = (char *)value,
+		.size = size,
+		.is_gone = is_gone,
+	};
+
+	return cm_registry_item_decode(&item, &events);
+}
+
+static void decode_made(const struct cm_registry_item *item)
+{
+	ASSERT_OK(decode(item->key, item->value, item->size, false));
+	ASSERT_OK(decode(item->key, NULL, 0, true));
+}
+
+TEST(entries_are_read_as_they_were_written)
+{
+	const struct cm_server_entry server = {
+		.id = 0x7f3a91c2,
+		.born_ms = 1700000000000,
+		.service = "ledger",
+		.domain = "a",
+		.address = { 0x0a800009, 8080, IPPROTO_UDP },
+		.slots = 3,
+		.cold_left_ms = 5,
+		.is_draining = true,
+	};
+	const struct cm_peer_entry peer = {
+		.name = "a-1",
+		.domain = "a",
+		.control = { 0x0a010001, 8166, IPPROTO_TCP },
+		.rank = UINT64_MAX,
+	};
+	struct cm_registry_item item;
+
+	cm_registry_item_server(&item, server.id, &server);
+	decode_made(&item);
+	cm_registry_item_peer(&item, &peer);
+	decode_made(&item);
+	cm_registry_item_domain_out(&item, "b");
+	decode_made(&item);
+	ck_assert_str_eq(told,
+			 "server 7f3a91c2 ledger a a800009:8080 slots=3 cold=5 "
+			 "draining=1 born=1700000000000; gone 7f3a91c2; "
+			 "peer a-1 a a010001:8166 rank=18446744073709551615; "
+			 "peer gone a-1; domain b out=1; domain b out=0; ");
+}
+
+#define VALUE(text, error)                    \
+	{                                     \
+		text, sizeof(text) - 1, error \
+	}
+
+/* Values of a server's item and what reading them gives. */
+static const struct {
+	const char *bytes;
+	size_t size;
+	int error;
+} values[] = {
+	VALUE("\x98\x01\xa1s\xa1z\x01\x02\x03\x00\x00", 0),
+	VALUE("", CM_E_MALFORMED),
+	VALUE("\x98\x01", CM_E_MALFORMED),
+	VALUE("\x97\x01\xa1s\xa1z\x01\x02\x03\x00", CM_E_TRUNCATED),
+	VALUE("\x99\x01\xa1s\xa1z\x01\x02\x03\x00\x00\x00", CM_E_TOO_LARGE),
+	VALUE("\x98\x01\xa1s\xa1z\x01\x02\x03\x00\x00\x00", CM_E_MALFORMED),
+	VALUE("\x98\x01\x07\xa1z\x01\x02\x03\x00\x00", CM_E_WRONG_TYPE),
+	VALUE("\x98\x01\xa1s\xa1z\x01\xce\x00\x01\x00\x00\x03\x00\x00",
+	      CM_E_OUT_OF_RANGE),
+	VALUE("\x98\x01\xa1s\xa1z\x01\x02\x00\x00\x00", CM_E_OUT_OF_RANGE),
+	VALUE("\x98\x01\xa1s\xa1z\x01\x02\x03\x00\x02", CM_E_OUT_OF_RANGE),
+};
+
+TEST_TABLE(bad_value_is_refused, values)
+{
+	ck_assert_int_eq(
+		decode("s/7f", values[_i].bytes, values[_i].size, false),
+		values[_i].error);
+	ck_assert_int_eq(told[0] == '\0', values[_i].error != 0);
+}
+
+static const struct {
+	const char *key;
+	int error;
+} keys[] = {
+	{ "", CM_E_UNSUPPORTED },    { "s", CM_E_UNSUPPORTED },
+	{ "x/1", CM_E_UNSUPPORTED }, { "s/", CM_E_BAD_NAME },
+	{ "s/7g", CM_E_BAD_NAME },   { "m/", CM_E_BAD_NAME },
+	{ "p/x", CM_E_UNSUPPORTED }, { "p/services", 0 },
+	{ "p/routes/1", 0 },
+};
+
+TEST_TABLE(bad_key_is_refused, keys)
+{
+	ck_assert_int_eq(decode(keys[_i].key, "\x80", 1, false),
+			 keys[_i].error);
+	ck_assert_str_eq(told, "");
+}
+
+static uint32_t changed;
+
+static void put(void *user, const char *key, const char *value, size_t size)
+{
+	const uint64_t *revision = user;
+
+	changed += cm_item_log_put(&copy, key, value, size, *revision) != NULL;
+}
+
+static void build(struct cm_steer_plan *plan, uint32_t routes,
+		  uint32_t moved_route)
+{
+	const struct cm_steer_service services[] = { { "ledger", 2 },
+						     { "desk", 0 } };
+
+	ASSERT_OK(cm_steer_plan_init(plan, 7, routes, 2));
+	for (uint32_t i = 0; i < routes; i++) {
+		const struct cm_steer_route route = {
+			.address = { 0xc6120000 + i, 443, IPPROTO_TCP },
+			.target_count = 2,
+			.targets = { { "ledger", i == moved_route ? 1 : 90 },
+				     { "desk", 10 } },
+		};
+
+		ASSERT_OK(cm_steer_plan_add_route(plan, &route));
+	}
+	cm_steer_plan_add_service(plan, &services[0]);
+	cm_steer_plan_add_service(plan, &services[1]);
+	ASSERT_OK(cm_steer_plan_seal(plan));
+}
+
+static void write(uint32_t routes, uint32_t moved_route, uint64_t revision)
+{
+	struct cm_steer_plan plan;
+
+	build(&plan, routes, moved_route);
+	changed = 0;
+	cm_plan_items_write(&plan, put, &revision);
+	cm_steer_plan_finish(&plan);
+}
+
+static const uint32_t route_counts[] = { 0, 1, 33, 2400 };
+
+TEST_TABLE(plan_is_read_as_it_was_written, route_counts)
+{
+	const uint32_t count = route_counts[_i];
+	struct cm_steer_plan plan;
+
+	write(count, UINT32_MAX, 1);
+	ASSERT_OK(cm_plan_items_read(&plan, &copy, 7));
+	ck_assert_uint_eq(plan.version, 7);
+	ck_assert_uint_eq(plan.route_count, count);
+	ck_assert_uint_eq(cm_steer_plan_service(&plan, "ledger")->cold_per_s,
+			  2);
+	for (uint32_t i = 0; i < count; i++) {
+		const struct cm_endpoint address = { 0xc6120000 + i, 443,
+						     IPPROTO_TCP };
+		const struct cm_plan_route *route =
+			cm_steer_plan_route(&plan, &address);
+
+		ck_assert_ptr_nonnull(route);
+		ck_assert_str_eq(cm_steer_plan_target(&plan, route, 89),
+				 "ledger");
+		ck_assert_str_eq(cm_steer_plan_target(&plan, route, 90),
+				 "desk");
+	}
+	cm_steer_plan_finish(&plan);
+}
+
+/* A change of a plan costs by what changes, not by its size. */
+TEST(one_route_changes_one_item)
+{
+	write(2400, UINT32_MAX, 1);
+	ck_assert_uint_eq(changed, CM_PLAN_PARTS + 2);
+	write(2400, UINT32_MAX, 2);
+	ck_assert_uint_eq(changed, 0);
+	write(2400, 1200, 3);
+	ck_assert_uint_eq(changed, 1);
+	write(2401, 1200, 4);
+	ck_assert_uint_eq(changed, 1);
+}
+
+TEST(plan_without_an_item_is_refused)
+{
+	struct cm_steer_plan plan;
+
+	write(3, UINT32_MAX, 1);
+	cm_item_log_remove(&copy, "p/routes/5", 2, 0);
+	ck_assert_int_eq(cm_plan_items_read(&plan, &copy, 7), CM_E_MISSING_KEY);
+	cm_steer_plan_finish(&plan);
+}
+
+/* Values of an item of routes and what reading the plan gives. */
+static const struct {
+	const char *bytes;
+	size_t size;
+	int error;
+} routes[] = {
+	VALUE("\x90", 0),
+	VALUE("\x91\x94\x01\x02\xa1s\x01", 0),
+	VALUE("\x91\x92\x01\x02", CM_E_TRUNCATED),
+	VALUE("\x91\x93\x01\x02\xa1s", CM_E_TRUNCATED),
+	VALUE("\x91\x94\x01\xa1x\xa1s\x01", CM_E_WRONG_TYPE),
+	VALUE("\x92\x94\x01\x02\xa1s\x01\x94\x01\x02\xa1s\x01",
+	      CM_E_SAME_ENDPOINT),
+	VALUE("\x92\x94\x01\x02\xa1s\x01", CM_E_MALFORMED),
+	VALUE("\x07", CM_E_WRONG_TYPE),
+};
+
+TEST_TABLE(bad_routes_are_refused, routes)
+{
+	struct cm_steer_plan plan;
+
+	write(0, UINT32_MAX, 1);
+	cm_item_log_put(&copy, "p/routes/5", routes[_i].bytes, routes[_i].size,
+			2);
+	ck_assert_int_eq(cm_plan_items_read(&plan, &copy, 7), routes[_i].error);
+	cm_steer_plan_finish(&plan);
+}
