--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -138,20 +138,20 @@
  * @peers: the nodes of the fleet
  * @flows: flows that it saw opening
  * @out: failure domains that are out
- * @out_count: number of @out
  * @heard_ms: when the registry was last heard of; 0 for never
  * @returned_ms: when it was last heard of again after an outage
- * @is_away: the registry can't be reached
- * @is_leaving: the node is in graceful shutdown
  * @told_ms: latest time that the node was given
  * @active_ms: clock that stands while the node is paused
  * @choices: number of the last choice
  * @last_flow_ms: when a packet was last sent on
- * @has_reached: a server answered or was reached since the start
- * @silent_syns: SYNs in a row, to any server, that got no answer
  * @probed_ms: when the last probe began
- * @was_ready: whether the node was ready at the last tick
  * @examined: servers that were looked at between packets, in all
+ * @is_away: the registry can't be reached
+ * @is_leaving: the node is in graceful shutdown
+ * @has_reached: a server answered or was reached since the start
+ * @was_ready: whether the node was ready at the last tick
+ * @silent_syns: SYNs in a row, to any server, that got no answer
+ * @out_count: number of @out
  * @failures: server of each flow that failed and was not told yet
  * @failure_count: number of @failures
  * @changes: what it concluded by itself
@@ -167,20 +167,20 @@
 	struct cm_steer_peers peers;
 	struct cm_steer_flows flows;
 	struct cm_domain_out out[CM_STEER_DOMAINS_OUT_MAX];
-	uint32_t out_count;
 	uint64_t heard_ms;
 	uint64_t returned_ms;
-	bool is_away;
-	bool is_leaving;
 	uint64_t told_ms;
 	uint64_t active_ms;
 	uint64_t choices;
 	uint64_t last_flow_ms;
-	bool has_reached;
-	uint32_t silent_syns;
 	uint64_t probed_ms;
-	bool was_ready;
 	uint64_t examined;
+	bool is_away;
+	bool is_leaving;
+	bool has_reached;
+	bool was_ready;
+	uint32_t silent_syns;
+	uint32_t out_count;
 	uint32_t failures[CM_STEER_FAILURES_MAX];
 	uint32_t failure_count;
 	struct cm_steer_changes changes;
--- a/src/core/server_pool.c
+++ b/src/core/server_pool.c
@@ -31,17 +31,30 @@
 
 static void pool_free(struct cm_server_pool *pool)
 {
-	while (!LIST_EMPTY(&pool->groups))
-		group_free(LIST_FIRST(&pool->groups));
+	struct cm_server_group *group = LIST_FIRST(&pool->groups);
+
+	while (group) {
+		struct cm_server_group *next = LIST_NEXT(group, link);
+
+		group_free(group);
+		group = next;
+	}
 	LIST_REMOVE(pool, link);
 	free(pool);
 }
 
 void cm_server_pools_finish(struct cm_server_pools *pools)
 {
-	for (uint32_t i = 0; i < CM_POOL_BUCKETS; i++)
-		while (!LIST_EMPTY(&pools->buckets[i]))
-			pool_free(LIST_FIRST(&pools->buckets[i]));
+	for (uint32_t i = 0; i < CM_POOL_BUCKETS; i++) {
+		struct cm_server_pool *pool = LIST_FIRST(&pools->buckets[i]);
+
+		while (pool) {
+			struct cm_server_pool *next = LIST_NEXT(pool, link);
+
+			pool_free(pool);
+			pool = next;
+		}
+	}
 }
 
 struct cm_server_pool *cm_server_pools_find(const struct cm_server_pools *pools,
