Build no plan for a version alone; leave packets more time after large answers

Cause: with 800 or 2,000 routes on instances slowed to a hundredth of a core, the one instance of a failure domain that reads the store decodes each version whole, up to 2.5 a second in a storm, and the others built the plan anew though nothing of it concerned flows.

--- a/include/chervilmast/histogram.h
+++ b/include/chervilmast/histogram.h
@@ -17,6 +17,8 @@
 	  "time from a SYN that was sent on to the caller's FIN")            \
 	X(DECISION, "decision_microseconds",                                 \
 	  "time that a batch of packets took from the socket to the socket") \
+	X(PACKET_WAIT, "packet_wait_milliseconds",                           \
+	  "longest time that a batch of packets may have waited to be read") \
 	X(STORE_READ, "store_read_milliseconds",                             \
 	  "time that reading all of the registry took")                      \
 	X(STORE_WAIT, "store_wait_milliseconds",                             \
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -241,6 +241,16 @@
  */
 int cm_steer_set_plan(struct cm_steer *steer, struct cm_steer_plan *plan);
 
+/**
+ * cm_steer_raise_plan() - a new plan has the content of the one in force
+ * @steer: the node
+ * @version: its version
+ *
+ * Return: 0, or CM_E_STALE when a plan of this or a higher version is in
+ * force.
+ */
+int cm_steer_raise_plan(struct cm_steer *steer, uint64_t version);
+
 /**
  * cm_steer_put_server() - take what the registry says of a server
  * @steer: the node
--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -27,6 +27,7 @@
  * @timer: ends the wait for the next part
  * @end_ms: when the wait for the whole answer ends
  * @text: body of the answer as it comes in
+ * @began_ms: when its first part came; 0 until then
  * @status: HTTP status; 0 until there is one
  * @error: what it came to
  * @is_done: it is over
@@ -37,6 +38,7 @@
 	struct event *timer;
 	uint64_t end_ms;
 	GString *text;
+	uint64_t began_ms;
 	unsigned int status;
 	int error;
 	bool is_done;
@@ -78,6 +80,8 @@
 		transfer_end(transfer, CM_E_TOO_LARGE);
 		return;
 	}
+	if (!transfer->began_ms)
+		transfer->began_ms = cm_clock_ms();
 	g_string_append_len(transfer->text, (const char *)bytes,
 			    (gssize)length);
 	if (transfer_wait(transfer))
@@ -243,6 +247,7 @@
 	if (error)
 		drop_connection(client);
 	answer->status = transfer.status;
+	answer->began_ms = transfer.began_ms;
 	answer->length = transfer.text->len;
 	answer->text = g_string_free(transfer.text, FALSE);
 	return error;
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -64,11 +64,13 @@
  * @status: HTTP status
  * @text: the body, NUL-terminated; freed by cm_http_answer_finish()
  * @length: bytes of @text
+ * @began_ms: when its first part came; 0 without a body
  */
 struct cm_http_answer {
 	unsigned int status;
 	char *text;
 	size_t length;
+	uint64_t began_ms;
 };
 
 /**
--- a/src/adapters/plan_items.c
+++ b/src/adapters/plan_items.c
@@ -298,8 +298,8 @@
 	return cm_item_value_close(&value);
 }
 
-bool cm_plan_items_has(const char *key)
+bool cm_plan_items_has_content(const char *key)
 {
 	return !strncmp(key, ROUTES_KEY, strlen(ROUTES_KEY)) ||
-	       !strcmp(key, SERVICES_KEY) || !strcmp(key, VERSION_KEY);
+	       !strcmp(key, SERVICES_KEY);
 }
--- a/src/adapters/plan_items.h
+++ b/src/adapters/plan_items.h
@@ -59,11 +59,11 @@
 int cm_plan_items_version(const struct cm_item *item, uint64_t *version);
 
 /**
- * cm_plan_items_has() - whether an item is one of a plan's
+ * cm_plan_items_has_content() - whether an item is content of a plan
  * @key: its key
  *
- * Return: true for routes, services and the version.
+ * Return: true for routes and services.
  */
-bool cm_plan_items_has(const char *key);
+bool cm_plan_items_has_content(const char *key);
 
 #endif
--- a/src/adapters/registry_item.c
+++ b/src/adapters/registry_item.c
@@ -141,7 +141,7 @@
 
 	if (!error)
 		events->plan(events->user, version);
-	if (error == CM_E_UNSUPPORTED && cm_plan_items_has(item->key))
+	if (error == CM_E_UNSUPPORTED && cm_plan_items_has_content(item->key))
 		return CM_OK;
 	return error;
 }
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -41,6 +41,19 @@
 	return error;
 }
 
+int cm_steer_raise_plan(struct cm_steer *steer, uint64_t version)
+{
+	int error = CM_E_STALE;
+
+	pthread_mutex_lock(&steer->lock);
+	if (version > steer->plan.version) {
+		steer->plan.version = version;
+		error = CM_OK;
+	}
+	pthread_mutex_unlock(&steer->lock);
+	return error;
+}
+
 bool cm_steer_can_place(struct cm_steer *steer)
 {
 	bool can_place;
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -304,10 +304,14 @@
 	cm_steer_lost(feed->steer);
 }
 
-/* An outage of the registry is no reason to ask it, a silent source is. */
+/*
+ * A silent source is a reason to ask the registry; an outage of the registry,
+ * or a source that answers late since all are busy, is none.
+ */
 static bool is_alone(const struct cm_feed *feed, uint64_t now_ms)
 {
 	return feed->is_confirmed && !feed->is_lost && feed->alone_ms &&
+	       !feed->source.is_proven &&
 	       now_ms >= cm_steer_heard_ms(feed->steer) + feed->alone_ms;
 }
 
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -41,6 +41,7 @@
  * @lock: guards all below
  * @log: the items
  * @version: version of the plan that was put in force; 0 for none
+ * @plan_differs: its routes or services have changed since
  * @snapshot: snapshot in progress
  * @roster: members of the failure domain
  * @members_revision: revision of their entry in the registry; 0 for none
@@ -66,6 +67,7 @@
 	pthread_mutex_t lock;
 	struct cm_item_log log;
 	uint64_t version;
+	bool plan_differs;
 	struct cm_feed_snapshot snapshot;
 	struct cm_roster roster;
 	uint64_t members_revision;
--- a/src/daemon/feed_events.c
+++ b/src/daemon/feed_events.c
@@ -60,19 +60,30 @@
 	cm_log(CM_EVENT_PEER_GONE, "peer=%s", name);
 }
 
-static void take_plan(void *user, uint64_t version)
+static int build_plan(struct cm_feed *feed, uint64_t version)
 {
-	struct cm_feed *feed = user;
 	struct cm_steer_plan plan;
 	int error = cm_plan_items_read(&plan, &feed->log, version);
-	size_t routes = plan.route_count;
 
 	if (!error)
 		error = cm_steer_set_plan(feed->steer, &plan);
-	if (!error)
+	return error;
+}
+
+/* Many plans differ in what only the operators see. */
+static void take_plan(void *user, uint64_t version)
+{
+	struct cm_feed *feed = user;
+	bool is_same = feed->version && !feed->plan_differs;
+	int error = is_same ? cm_steer_raise_plan(feed->steer, version) :
+			      build_plan(feed, version);
+
+	if (!error) {
 		feed->version = version;
-	cm_log(CM_EVENT_PLAN, "version=%llu routes=%zu outcome=%s",
-	       (unsigned long long)version, routes, cm_error_name(error));
+		feed->plan_differs = false;
+	}
+	cm_log(CM_EVENT_PLAN, "version=%llu routes_differ=%d outcome=%s",
+	       (unsigned long long)version, !is_same, cm_error_name(error));
 }
 
 static void take_domain_out(void *user, const char *domain, bool is_out)
@@ -106,6 +117,8 @@
 	int error = cm_registry_item_decode(item, &events);
 
 	cm_counters_add(&feed->steer->counters, CM_C_REGISTRY_ITEMS);
+	if (cm_plan_items_has_content(item->key))
+		feed->plan_differs = true;
 	if (error)
 		cm_feed_bad_item(feed, item->key, error);
 }
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -11,6 +11,11 @@
 /** Pause between answers of the registry, so that several events come in one,
  * ms. */
 #define PAUSE_MS 400
+/** An answer that took long to receive and apply is followed by a pause of so
+ * many times that, so that packets get most of the processor... */
+#define PAUSE_TIMES 4
+/** ...up to this, ms. */
+#define PAUSE_MAX_MS 800
 /** Mean pause after a call that failed, ms; doubles each time... */
 #define RETRY_MS 150
 /** ...up to this. Pauses differ from the mean by half of it at most, so that
@@ -221,10 +226,22 @@
 	return knows_members(loop) ? 0 : spread(loop, FIRST_SPREAD_MS);
 }
 
+static uint32_t pause_ms(const struct cm_registry_loop *loop)
+{
+	uint64_t answered_ms = loop->registry->answered_ms;
+	uint64_t pause =
+		answered_ms ? (cm_clock_ms() - answered_ms) * PAUSE_TIMES : 0;
+
+	if (pause < PAUSE_MS)
+		return PAUSE_MS;
+	return pause < PAUSE_MAX_MS ? (uint32_t)pause : PAUSE_MAX_MS;
+}
+
 /* Return: pause until the next step, ms. */
 static uint32_t step_registry(struct cm_registry_loop *loop)
 {
 	int error = CM_OK;
+	uint32_t pause;
 
 	if (!cm_feed_revision(loop->feed))
 		return step_first(loop);
@@ -240,8 +257,9 @@
 	if (error)
 		return next_retry_ms(loop);
 	loop->retry_ms = RETRY_MS;
+	pause = pause_ms(loop);
 	tend_members(loop);
-	return PAUSE_MS;
+	return pause;
 }
 
 /* Asks the source; the answer comes by the thread of the peers. */
--- a/src/daemon/steer_loop.c
+++ b/src/daemon/steer_loop.c
@@ -131,9 +131,12 @@
 	for (size_t i = 0; i < loop->batch.count; i++)
 		handle(loop, now_ms, &loop->batch.came[i]);
 	refused = cm_udp_batch_send(&loop->batch);
-	if (loop->batch.count)
+	if (loop->batch.count) {
 		cm_histograms_add(&loop->steer->histograms, CM_H_DECISION,
 				  cm_clock_us() - begin_us);
+		cm_histograms_add(&loop->steer->histograms, CM_H_PACKET_WAIT,
+				  now_ms - loop->emptied_ms);
+	}
 	if (refused)
 		cm_counters_add_many(&loop->steer->counters, CM_C_DROP_SEND,
 				     refused);
--- a/src/ports/registry.h
+++ b/src/ports/registry.h
@@ -88,9 +88,11 @@
 /**
  * struct cm_registry - a registry
  * @ops: what its adapter does
+ * @answered_ms: when the last answer of @wait began to come; 0 when it did not
  */
 struct cm_registry {
 	const struct cm_registry_ops *ops;
+	uint64_t answered_ms;
 };
 
 #endif
--- a/tests/unit/test_feed_exchange.c
+++ b/tests/unit/test_feed_exchange.c
@@ -272,6 +272,26 @@
 		10 * 2);
 }
 
+/* A storm of plans that differ in nothing that concerns flows builds none. */
+TEST(plan_of_the_same_routes_is_not_built_again)
+{
+	const struct cm_plan_route *routes;
+
+	tell_all(&source, 3);
+	tell_plan(&source, 7, 2400, 4);
+	ask_all(&source, SOURCE_INCARNATION);
+	routes = follower.steer.plan.routes;
+	for (uint32_t i = 1; i <= 10; i++) {
+		tell_plan(&source, 7 + i, 2400, 4 + i);
+		ask_all(&source, SOURCE_INCARNATION);
+		ck_assert_uint_eq(follower.steer.plan.version, 7 + i);
+	}
+	ck_assert_ptr_eq(follower.steer.plan.routes, routes);
+	tell_plan(&source, 18, 2401, 15);
+	ask_all(&source, SOURCE_INCARNATION);
+	ck_assert_uint_eq(follower.steer.plan.route_count, 2401);
+}
+
 TEST(earlier_plan_is_refused)
 {
 	tell_all(&source, 3);
