--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -2,9 +2,14 @@
 
 #include <string.h>
 
+/* The room for members is large, and not touched before there are some. */
 void cm_roster_init(struct cm_roster *roster)
 {
-	memset(roster, 0, sizeof(*roster));
+	roster->count = 0;
+	roster->next_rank = 0;
+	roster->stored = 0;
+	memset(roster->stored_first, 0, sizeof(roster->stored_first));
+	roster->written_ms = 0;
 }
 
 static struct cm_roster_member *find(struct cm_roster *roster, const char *name)
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -18,16 +18,29 @@
 void cm_feed_init(struct cm_feed *feed, struct cm_steer *steer,
 		  const struct cm_feed_config *config)
 {
-	memset(feed, 0, sizeof(*feed));
 	feed->steer = steer;
 	feed->self = config->self;
 	feed->incarnation = config->incarnation;
 	feed->alone_ms = config->alone_ms;
 	pthread_mutex_init(&feed->lock, NULL);
 	cm_item_log_init(&feed->log);
+	feed->version = 0;
+	feed->plan_differs = false;
+	memset(&feed->snapshot, 0, sizeof(feed->snapshot));
 	cm_roster_init(&feed->roster);
+	feed->members_revision = 0;
+	feed->has_plan = false;
 	cm_feed_source_init(&feed->source, config->age_max_ms);
+	memset(&feed->asked, 0, sizeof(feed->asked));
 	cm_condition_init(&feed->turned);
+	feed->turns = 0;
+	feed->turns_seen = 0;
+	feed->asked_ms = 0;
+	memset(&feed->suspects, 0, sizeof(feed->suspects));
+	memset(&feed->failures, 0, sizeof(feed->failures));
+	feed->is_lost = false;
+	feed->is_confirmed = false;
+	feed->swept_ms = 0;
 }
 
 void cm_feed_finish(struct cm_feed *feed)
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -11,8 +11,6 @@
 
 /* X(constant, level, name in the log, what happened) */
 #define CM_LOG_EVENTS(X)                                                       \
-	X(ANNOUNCE_FAILED, WARNING, "announce_failed",                         \
-	  "the registry did not take this instance's own entry")               \
 	X(CAUGHT_UP, INFO, "caught_up",                                        \
 	  "after a pause, packets are handled again")                          \
 	X(CONTROL_UNAVAILABLE, ERROR, "control_unavailable",                   \
