--- a/Makefile
+++ b/Makefile
@@ -108,7 +108,7 @@
 
 # The real program as processes among stand-ins, with faults from outside.
 $(BUILD)/process: $(call object,$(wildcard tests/process/*.c) $(FAKE) \
-		tests/standin/platform_store.c $(SHELL_SRC)) \
+		$(wildcard tests/standin/platform_*.c) $(SHELL_SRC)) \
 		$(BUILD)/libchervilmast.a
 	@echo "LD $@"
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(TEST_LIBS) $(LIBS)
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -1,10 +1,10 @@
 /**
  * DOC: Copy of the registry of an instance that steers by token
  *
- * Keeps what the registry holds as items (feed.c), applies them to the node
- * (feed_events.c) and exchanges them with other instances of the failure domain
- * (feed_exchange.c). Entries come from the registry itself or from the source,
- * the instance that is asked in its place; registry_loop.c decides which one.
+ * Keeps what the registry holds as items. Entries come from the registry itself
+ * (feed_registry.c) or from the source, the instance that is asked in its place
+ * (feed_exchange.c); registry_loop.c asks the one that feed.c names. What
+ * changes is applied to the node (feed_events.c).
  */
 #ifndef DAEMON_FEED_H
 #define DAEMON_FEED_H
--- /dev/null
+++ b/src/daemon/feed_registry.c
@@ -0,0 +1,255 @@
+#include "feed.h"
+
+#include <string.h>
+
+#include "adapters/plan_items.h"
+#include "adapters/registry_item.h"
+#include "chervilmast/error.h"
+#include "feed_events.h"
+#include "log.h"
+#include "ports/clock.h"
+
+/** Time for which items that went are kept, ms. */
+#define GONE_KEPT_MS 60000
+/** Time between sweeps of the copy, ms. */
+#define SWEEP_MS 5000
+
+static void put(struct cm_feed *feed, const struct cm_registry_item *entry,
+		uint64_t revision)
+{
+	const struct cm_item *item = cm_item_log_put(
+		&feed->log, entry->key, entry->value, entry->size, revision);
+
+	if (item)
+		cm_feed_apply(feed, item);
+}
+
+static void remove_item(struct cm_feed *feed, const char *key,
+			uint64_t revision)
+{
+	const struct cm_item *item =
+		cm_item_log_remove(&feed->log, key, revision, cm_clock_ms());
+
+	if (item)
+		cm_feed_apply(feed, item);
+}
+
+void cm_feed_begin(struct cm_feed *feed)
+{
+	pthread_mutex_lock(&feed->lock);
+	feed->snapshot.of = 0;
+	feed->has_plan = false;
+	cm_item_log_begin(&feed->log);
+	pthread_mutex_unlock(&feed->lock);
+}
+
+static void on_server(void *user, const struct cm_server_entry *entry,
+		      uint64_t revision)
+{
+	struct cm_feed *feed = user;
+	struct cm_registry_item item;
+
+	cm_registry_item_server(&item, entry->id, entry);
+	pthread_mutex_lock(&feed->lock);
+	put(feed, &item, revision);
+	pthread_mutex_unlock(&feed->lock);
+}
+
+static void on_server_gone(void *user, uint64_t id, uint64_t revision)
+{
+	struct cm_feed *feed = user;
+	struct cm_registry_item item;
+
+	cm_registry_item_server(&item, id, NULL);
+	pthread_mutex_lock(&feed->lock);
+	remove_item(feed, item.key, revision);
+	pthread_mutex_unlock(&feed->lock);
+}
+
+static void on_domain_out(void *user, const char *domain, bool is_out,
+			  uint64_t revision)
+{
+	struct cm_feed *feed = user;
+	struct cm_registry_item item;
+
+	cm_registry_item_domain_out(&item, domain);
+	pthread_mutex_lock(&feed->lock);
+	if (is_out)
+		put(feed, &item, revision);
+	else
+		remove_item(feed, item.key, revision);
+	pthread_mutex_unlock(&feed->lock);
+}
+
+/**
+ * struct plan_put - a plan whose items are being put
+ * @feed: the copy
+ * @revision: revision of the registry at the plan's last change
+ */
+struct plan_put {
+	struct cm_feed *feed;
+	uint64_t revision;
+};
+
+static void put_plan_item(void *user, const char *key, const char *value,
+			  size_t size)
+{
+	const struct plan_put *plan_put = user;
+	const struct cm_item *item = cm_item_log_put(
+		&plan_put->feed->log, key, value, size, plan_put->revision);
+
+	if (item)
+		cm_feed_apply(plan_put->feed, item);
+}
+
+static void put_plan(struct cm_feed *feed, const struct cm_steer_plan *plan,
+		     uint64_t revision)
+{
+	struct plan_put plan_put = { feed, revision };
+
+	feed->has_plan = true;
+	cm_plan_items_write(plan, put_plan_item, &plan_put);
+}
+
+static void on_plan(void *user, struct cm_steer_plan *plan, uint64_t revision)
+{
+	struct cm_feed *feed = user;
+
+	pthread_mutex_lock(&feed->lock);
+	if (plan->version >= feed->version)
+		put_plan(feed, plan, revision);
+	else
+		cm_feed_bad_item(feed, "plan", CM_E_STALE);
+	pthread_mutex_unlock(&feed->lock);
+	cm_steer_plan_finish(plan);
+}
+
+static bool has_member(const struct cm_domain_members *members,
+		       const char *name)
+{
+	for (uint32_t i = 0; i < members->count; i++)
+		if (!strcmp(members->entries[i].name, name))
+			return true;
+	return false;
+}
+
+static void remove_leavers(struct cm_feed *feed,
+			   const struct cm_domain_members *members,
+			   uint64_t revision)
+{
+	struct cm_peer_entry *known = feed->listed;
+	uint32_t count = cm_steer_list_peers(feed->steer, members->domain,
+					     known, CM_ROSTER_MAX);
+	struct cm_registry_item item;
+
+	for (uint32_t i = 0; i < count; i++) {
+		cm_registry_item_peer(&item, &known[i]);
+		if (!has_member(members, known[i].name))
+			remove_item(feed, item.key, revision);
+	}
+}
+
+static void on_members(void *user, const struct cm_domain_members *members,
+		       uint64_t revision)
+{
+	struct cm_feed *feed = user;
+	struct cm_registry_item item;
+
+	pthread_mutex_lock(&feed->lock);
+	remove_leavers(feed, members, revision);
+	for (uint32_t i = 0; i < members->count; i++) {
+		cm_registry_item_peer(&item, &members->entries[i]);
+		put(feed, &item, revision);
+	}
+	if (!strcmp(members->domain, feed->self.domain) &&
+	    revision > feed->members_revision) {
+		feed->members_revision = revision;
+		cm_roster_store(&feed->roster, cm_clock_ms(), members);
+	}
+	pthread_mutex_unlock(&feed->lock);
+}
+
+/*
+ * The entry went with the lease of who wrote it. The members are still the ones
+ * to ask, and one of them enters them anew.
+ */
+static void on_members_gone(void *user, const char *domain, uint64_t revision)
+{
+	struct cm_feed *feed = user;
+
+	(void)revision;
+	pthread_mutex_lock(&feed->lock);
+	if (!strcmp(domain, feed->self.domain)) {
+		feed->members_revision = 0;
+		cm_roster_store(&feed->roster, cm_clock_ms(), NULL);
+	}
+	pthread_mutex_unlock(&feed->lock);
+}
+
+static void on_bad_item(void *user, const char *key, int error)
+{
+	cm_feed_bad_item(user, key, error);
+}
+
+static void apply(void *user, const struct cm_item *item)
+{
+	cm_feed_apply(user, item);
+}
+
+/* Members of the own failure domain stay known while it has no entry. */
+static void keep_members(struct cm_feed *feed)
+{
+	uint32_t count = cm_steer_list_peers(feed->steer, feed->self.domain,
+					     feed->listed, CM_ROSTER_MAX);
+	struct cm_registry_item item;
+
+	for (uint32_t i = 0; i < count; i++) {
+		cm_registry_item_peer(&item, &feed->listed[i]);
+		cm_item_log_keep(&feed->log, item.key);
+	}
+}
+
+static void on_all(void *user, uint64_t revision)
+{
+	struct cm_feed *feed = user;
+
+	pthread_mutex_lock(&feed->lock);
+	keep_members(feed);
+	if (!feed->has_plan)
+		cm_plan_items_keep(&feed->log);
+	cm_item_log_end(&feed->log, revision, cm_clock_ms(), apply, feed);
+	cm_log(CM_EVENT_SNAPSHOT, "of=registry revision=%llu items=%u",
+	       (unsigned long long)revision, feed->log.count);
+	pthread_mutex_unlock(&feed->lock);
+}
+
+static void on_changes(void *user, uint64_t revision)
+{
+	struct cm_feed *feed = user;
+	uint64_t now_ms = cm_clock_ms();
+
+	pthread_mutex_lock(&feed->lock);
+	cm_item_log_reached(&feed->log, revision);
+	if (now_ms >= feed->swept_ms + SWEEP_MS && now_ms > GONE_KEPT_MS) {
+		cm_item_log_sweep(&feed->log, now_ms - GONE_KEPT_MS);
+		feed->swept_ms = now_ms;
+	}
+	pthread_mutex_unlock(&feed->lock);
+}
+
+struct cm_registry_sink cm_feed_sink(struct cm_feed *feed, bool is_all)
+{
+	const struct cm_registry_sink sink = {
+		.server = on_server,
+		.server_gone = on_server_gone,
+		.plan = on_plan,
+		.domain_out = on_domain_out,
+		.members = on_members,
+		.members_gone = on_members_gone,
+		.bad_item = on_bad_item,
+		.reached = is_all ? on_all : on_changes,
+		.user = feed,
+	};
+
+	return sink;
+}
--- a/tests/standin/platform_store.c
+++ b/tests/standin/platform_store.c
@@ -21,7 +21,6 @@
 #define PART_PAUSE_MS 300
 #define BYTE_PAUSE_MS 20
 #define PART_BUFFER 4096
-#define OVERSIZE (17 * 1024 * 1024)
 #define FIRST_LEASE 7000
 
 /**
@@ -244,40 +243,6 @@
 	return reply;
 }
 
-#define WRONG_TYPES "{\"items\":7,\"events\":\"x\",\"as-of\":[]}"
-
-static void fault_body(enum platform_fault fault, msgpack_sbuffer *body)
-{
-	static const char garbage[] = "<html>no msgpack</html>";
-
-	if (fault == PLATFORM_FAULT_GARBAGE) {
-		msgpack_sbuffer_write(body, garbage, strlen(garbage));
-	} else if (fault == PLATFORM_FAULT_WRONG_TYPE) {
-		fake_body_write_text(body, WRONG_TYPES);
-	} else if (fault == PLATFORM_FAULT_OVERSIZE) {
-		char *bytes = calloc(1, OVERSIZE);
-
-		msgpack_sbuffer_write(body, bytes, OVERSIZE);
-		free(bytes);
-	} else {
-		fake_body_write_text(body, "{}");
-	}
-}
-
-static unsigned int fault_status(enum platform_fault fault)
-{
-	switch (fault) {
-	case PLATFORM_FAULT_DOWN:
-		return MHD_HTTP_SERVICE_UNAVAILABLE;
-	case PLATFORM_FAULT_BUSY:
-		return MHD_HTTP_TOO_MANY_REQUESTS;
-	case PLATFORM_FAULT_GONE:
-		return MHD_HTTP_GONE;
-	default:
-		return MHD_HTTP_OK;
-	}
-}
-
 /* Takes the bytes of @body over. */
 static enum MHD_Result send_body(struct MHD_Connection *connection,
 				 unsigned int status, msgpack_sbuffer *body)
@@ -379,12 +344,6 @@
 						 next_byte, standin, NULL));
 }
 
-static bool is_carried_out(enum platform_fault fault)
-{
-	return fault == PLATFORM_FAULT_NONE || fault == PLATFORM_FAULT_LOST ||
-	       fault == PLATFORM_FAULT_SLOW;
-}
-
 static enum MHD_Result answer(struct platform_standin *standin,
 			      struct MHD_Connection *connection,
 			      const char *url, const json_t *body)
@@ -396,7 +355,7 @@
 	pthread_mutex_lock(&standin->lock);
 	end_leases(standin, cm_clock_ms());
 	fault = standin->fault;
-	if (is_carried_out(fault))
+	if (platform_fault_is_carried_out(fault))
 		reply = route(standin, connection, url, body);
 	pthread_mutex_unlock(&standin->lock);
 	if (fault == PLATFORM_FAULT_SILENT)
@@ -408,9 +367,10 @@
 	if (fault == PLATFORM_FAULT_TRICKLE)
 		return send_trickle(connection, standin);
 	msgpack_sbuffer_init(&bytes);
-	if (!is_carried_out(fault)) {
-		fault_body(fault, &bytes);
-		return send_body(connection, fault_status(fault), &bytes);
+	if (!platform_fault_is_carried_out(fault)) {
+		platform_fault_body(fault, &bytes);
+		return send_body(connection, platform_fault_status(fault),
+				 &bytes);
 	}
 	if (reply.body)
 		fake_body_write(&bytes, reply.body);
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -60,4 +60,10 @@
 /** TEST() - a test that runs once */
 #define TEST(test) TEST_LOOP(test, 0, 1)
 
+/** A row of a table of bytes: the bytes, their number, and the error. */
+#define UNIT_BYTES(text, error)               \
+	{                                     \
+		text, sizeof(text) - 1, error \
+	}
+
 #endif
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -11,69 +11,67 @@
 	"\x96" kind "\xcf\x00\x7f\x00\x00\x01\x17\xc1\x11\x07\xa1\x61\x01"
 #define BEAT "\x98\x05\x00\x01\x00\xc4\x00\x09\x90\x90"
 
-#define FRAME(text, error)                    \
-	{                                     \
-		text, sizeof(text) - 1, error \
-	}
-
 /* Bytes that are no message, and what reading them gives. */
 static const struct {
 	const char *bytes;
 	size_t size;
 	int error;
 } bad_frames[] = {
-	FRAME("", CM_E_TRUNCATED),
-	FRAME("\x96\x01", CM_E_TRUNCATED),
-	FRAME("\xc1", CM_E_MALFORMED),
-	FRAME("\x01", CM_E_WRONG_TYPE),
-	FRAME("\x90", CM_E_TRUNCATED),
-	FRAME("\x97\x01\x01\x01\x01\x01\x01\x01", CM_E_TOO_LARGE),
-	FRAME(HEAD("\x00") "\x90", CM_E_UNSUPPORTED),
-	FRAME(HEAD("\x0b") "\x90", CM_E_UNSUPPORTED),
-	FRAME(HEAD("\xff") "\x90", CM_E_WRONG_TYPE),
-	FRAME(HEAD("\xa1\x31") "\x90", CM_E_WRONG_TYPE),
-	FRAME(HEAD("\x07") "\x90\x00", CM_E_MALFORMED),
-	FRAME(HEAD("\x07") "\x91\x00", CM_E_TOO_LARGE),
-	FRAME(HEAD("\x07") "\x00", CM_E_WRONG_TYPE),
-	FRAME(HEAD("\x01") "\x97\x05\x00\x01\x00\xc4\x00\x09\x90",
-	      CM_E_TRUNCATED),
-	FRAME(HEAD("\x01") "\x98\x05\x04\x01\x00\xc4\x00\x09\x90\x90",
-	      CM_E_OUT_OF_RANGE),
-	FRAME(HEAD("\x01") "\x98\x05\x00\x02\x00\xc4\x00\x09\x90\x90",
-	      CM_E_OUT_OF_RANGE),
-	FRAME(HEAD("\x01") "\x98\x05\x00\x01\x07\xc4\x00\x09\x90\x90",
-	      CM_E_OUT_OF_RANGE),
-	FRAME(HEAD("\x01") "\x98\x05\x00\x01\x00\xa0\x09\x90\x90",
-	      CM_E_WRONG_TYPE),
-	FRAME(HEAD("\x01") "\x98\x05\x00\x01\x00\xc4\x00\x09\x91\x90\x90",
-	      CM_E_TRUNCATED),
-	FRAME(HEAD("\x03") "\xdc\x10\x01", CM_E_TRUNCATED),
-	FRAME(HEAD("\x03") "\x91\x93\x01\x01\x01", CM_E_OUT_OF_RANGE),
-	FRAME(HEAD("\x06") "\x92\x01\x91\xa1\x61", CM_E_WRONG_TYPE),
-	FRAME(HEAD("\x09") "\x90", CM_E_TRUNCATED),
-	FRAME(HEAD("\x09") "\x94\xa1\x61\x01\x00\x90", CM_E_TRUNCATED),
-	FRAME(HEAD("\x09") "\x95\x07\x01\x00\x90\x90", CM_E_WRONG_TYPE),
-	FRAME(HEAD("\x09") "\x95\xa1\x61\x01\x00\x91\xa1\x61\x90",
-	      CM_E_WRONG_TYPE),
-	FRAME(HEAD("\x09") "\x95\xa1\x61\x01\x00\x90\x91\xa1\x61",
-	      CM_E_WRONG_TYPE),
-	FRAME(HEAD("\x09") "\x95\xa1\x61\x01\x00\xdc\x00\x41\x90",
-	      CM_E_TRUNCATED),
-	FRAME(HEAD("\x0a") "\x98\x00\x01\x01\x02\x00\x90\x90\x90",
-	      CM_E_OUT_OF_RANGE),
-	FRAME(HEAD("\x0a") "\x98\x00\x01\x01\x00\x02\x90\x90\x90",
-	      CM_E_OUT_OF_RANGE),
-	FRAME(HEAD("\x0a") "\x98\x00\x01\x01\x00\x00\x91\x94\xa1\x61\xc4\x00"
-			   "\x01\x00\x90\x90",
-	      CM_E_WRONG_TYPE),
-	FRAME(HEAD("\x0a") "\x98\x00\x01\x01\x00\x00\x91\x94\xc4\x02\x61\x00"
-			   "\xc4\x00\x01\x00\x90\x90",
-	      CM_E_BAD_NAME),
-	FRAME(HEAD("\x08") "\x95\xa2\x61\x00\x01\x01\x90\x90", CM_E_BAD_NAME),
-	FRAME(HEAD("\x08") "\x95\xd9\x20"
-			   "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
-			   "\x01\x01\x90\x90",
-	      CM_E_TOO_LARGE),
+	UNIT_BYTES("", CM_E_TRUNCATED),
+	UNIT_BYTES("\x96\x01", CM_E_TRUNCATED),
+	UNIT_BYTES("\xc1", CM_E_MALFORMED),
+	UNIT_BYTES("\x01", CM_E_WRONG_TYPE),
+	UNIT_BYTES("\x90", CM_E_TRUNCATED),
+	UNIT_BYTES("\x97\x01\x01\x01\x01\x01\x01\x01", CM_E_TOO_LARGE),
+	UNIT_BYTES(HEAD("\x00") "\x90", CM_E_UNSUPPORTED),
+	UNIT_BYTES(HEAD("\x0b") "\x90", CM_E_UNSUPPORTED),
+	UNIT_BYTES(HEAD("\xff") "\x90", CM_E_WRONG_TYPE),
+	UNIT_BYTES(HEAD("\xa1\x31") "\x90", CM_E_WRONG_TYPE),
+	UNIT_BYTES(HEAD("\x07") "\x90\x00", CM_E_MALFORMED),
+	UNIT_BYTES(HEAD("\x07") "\x91\x00", CM_E_TOO_LARGE),
+	UNIT_BYTES(HEAD("\x07") "\x00", CM_E_WRONG_TYPE),
+	UNIT_BYTES(HEAD("\x01") "\x97\x05\x00\x01\x00\xc4\x00\x09\x90",
+		   CM_E_TRUNCATED),
+	UNIT_BYTES(HEAD("\x01") "\x98\x05\x04\x01\x00\xc4\x00\x09\x90\x90",
+		   CM_E_OUT_OF_RANGE),
+	UNIT_BYTES(HEAD("\x01") "\x98\x05\x00\x02\x00\xc4\x00\x09\x90\x90",
+		   CM_E_OUT_OF_RANGE),
+	UNIT_BYTES(HEAD("\x01") "\x98\x05\x00\x01\x07\xc4\x00\x09\x90\x90",
+		   CM_E_OUT_OF_RANGE),
+	UNIT_BYTES(HEAD("\x01") "\x98\x05\x00\x01\x00\xa0\x09\x90\x90",
+		   CM_E_WRONG_TYPE),
+	UNIT_BYTES(HEAD("\x01") "\x98\x05\x00\x01\x00\xc4\x00\x09\x91\x90\x90",
+		   CM_E_TRUNCATED),
+	UNIT_BYTES(HEAD("\x03") "\xdc\x10\x01", CM_E_TRUNCATED),
+	UNIT_BYTES(HEAD("\x03") "\x91\x93\x01\x01\x01", CM_E_OUT_OF_RANGE),
+	UNIT_BYTES(HEAD("\x06") "\x92\x01\x91\xa1\x61", CM_E_WRONG_TYPE),
+	UNIT_BYTES(HEAD("\x09") "\x90", CM_E_TRUNCATED),
+	UNIT_BYTES(HEAD("\x09") "\x94\xa1\x61\x01\x00\x90", CM_E_TRUNCATED),
+	UNIT_BYTES(HEAD("\x09") "\x95\x07\x01\x00\x90\x90", CM_E_WRONG_TYPE),
+	UNIT_BYTES(HEAD("\x09") "\x95\xa1\x61\x01\x00\x91\xa1\x61\x90",
+		   CM_E_WRONG_TYPE),
+	UNIT_BYTES(HEAD("\x09") "\x95\xa1\x61\x01\x00\x90\x91\xa1\x61",
+		   CM_E_WRONG_TYPE),
+	UNIT_BYTES(HEAD("\x09") "\x95\xa1\x61\x01\x00\xdc\x00\x41\x90",
+		   CM_E_TRUNCATED),
+	UNIT_BYTES(HEAD("\x0a") "\x98\x00\x01\x01\x02\x00\x90\x90\x90",
+		   CM_E_OUT_OF_RANGE),
+	UNIT_BYTES(HEAD("\x0a") "\x98\x00\x01\x01\x00\x02\x90\x90\x90",
+		   CM_E_OUT_OF_RANGE),
+	UNIT_BYTES(
+		HEAD("\x0a") "\x98\x00\x01\x01\x00\x00\x91\x94\xa1\x61\xc4\x00"
+			     "\x01\x00\x90\x90",
+		CM_E_WRONG_TYPE),
+	UNIT_BYTES(
+		HEAD("\x0a") "\x98\x00\x01\x01\x00\x00\x91\x94\xc4\x02\x61\x00"
+			     "\xc4\x00\x01\x00\x90\x90",
+		CM_E_BAD_NAME),
+	UNIT_BYTES(HEAD("\x08") "\x95\xa2\x61\x00\x01\x01\x90\x90",
+		   CM_E_BAD_NAME),
+	UNIT_BYTES(HEAD("\x08") "\x95\xd9\x20"
+				"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+				"\x01\x01\x90\x90",
+		   CM_E_TOO_LARGE),
 };
 
 UNIT_CASE("message", "codec", NULL, NULL, UNIT_TIMEOUT_S);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -133,25 +133,20 @@
 	msgpack_sbuffer_destroy(&value->bytes);
 }
 
-#define BYTES(text, error)                    \
-	{                                     \
-		text, sizeof(text) - 1, error \
-	}
-
 /* Bytes of a body and what reading them gives. */
 static const struct {
 	const char *bytes;
 	size_t size;
 	int error;
 } bodies[] = {
-	BYTES("\x80", 0),
-	BYTES("\x81\xa1x\xa2\xc3\xa4", 0),
-	BYTES("", CM_E_PROTOCOL),
-	BYTES("\x81\xa1x", CM_E_PROTOCOL),
-	BYTES("\x80\x80", CM_E_PROTOCOL),
-	BYTES("\xc1", CM_E_PROTOCOL),
-	BYTES("\xdf\xff\xff\xff\xff", CM_E_PROTOCOL),
-	BYTES("{}", CM_E_PROTOCOL),
+	UNIT_BYTES("\x80", 0),
+	UNIT_BYTES("\x81\xa1x\xa2\xc3\xa4", 0),
+	UNIT_BYTES("", CM_E_PROTOCOL),
+	UNIT_BYTES("\x81\xa1x", CM_E_PROTOCOL),
+	UNIT_BYTES("\x80\x80", CM_E_PROTOCOL),
+	UNIT_BYTES("\xc1", CM_E_PROTOCOL),
+	UNIT_BYTES("\xdf\xff\xff\xff\xff", CM_E_PROTOCOL),
+	UNIT_BYTES("{}", CM_E_PROTOCOL),
 };
 
 TEST_TABLE(body_is_one_whole_object, bodies)
--- a/tests/unit/test_registry_item.c
+++ b/tests/unit/test_registry_item.c
@@ -130,28 +130,25 @@
 			 "peer gone a-1; domain b out=1; domain b out=0; ");
 }
 
-#define VALUE(text, error)                    \
-	{                                     \
-		text, sizeof(text) - 1, error \
-	}
-
 /* Values of a server's item and what reading them gives. */
 static const struct {
 	const char *bytes;
 	size_t size;
 	int error;
 } values[] = {
-	VALUE("\x98\x01\xa1s\xa1z\x01\x02\x03\x00\x00", 0),
-	VALUE("", CM_E_MALFORMED),
-	VALUE("\x98\x01", CM_E_MALFORMED),
-	VALUE("\x97\x01\xa1s\xa1z\x01\x02\x03\x00", CM_E_TRUNCATED),
-	VALUE("\x99\x01\xa1s\xa1z\x01\x02\x03\x00\x00\x00", CM_E_TOO_LARGE),
-	VALUE("\x98\x01\xa1s\xa1z\x01\x02\x03\x00\x00\x00", CM_E_MALFORMED),
-	VALUE("\x98\x01\x07\xa1z\x01\x02\x03\x00\x00", CM_E_WRONG_TYPE),
-	VALUE("\x98\x01\xa1s\xa1z\x01\xce\x00\x01\x00\x00\x03\x00\x00",
-	      CM_E_OUT_OF_RANGE),
-	VALUE("\x98\x01\xa1s\xa1z\x01\x02\x00\x00\x00", CM_E_OUT_OF_RANGE),
-	VALUE("\x98\x01\xa1s\xa1z\x01\x02\x03\x00\x02", CM_E_OUT_OF_RANGE),
+	UNIT_BYTES("\x98\x01\xa1s\xa1z\x01\x02\x03\x00\x00", 0),
+	UNIT_BYTES("", CM_E_MALFORMED),
+	UNIT_BYTES("\x98\x01", CM_E_MALFORMED),
+	UNIT_BYTES("\x97\x01\xa1s\xa1z\x01\x02\x03\x00", CM_E_TRUNCATED),
+	UNIT_BYTES("\x99\x01\xa1s\xa1z\x01\x02\x03\x00\x00\x00",
+		   CM_E_TOO_LARGE),
+	UNIT_BYTES("\x98\x01\xa1s\xa1z\x01\x02\x03\x00\x00\x00",
+		   CM_E_MALFORMED),
+	UNIT_BYTES("\x98\x01\x07\xa1z\x01\x02\x03\x00\x00", CM_E_WRONG_TYPE),
+	UNIT_BYTES("\x98\x01\xa1s\xa1z\x01\xce\x00\x01\x00\x00\x03\x00\x00",
+		   CM_E_OUT_OF_RANGE),
+	UNIT_BYTES("\x98\x01\xa1s\xa1z\x01\x02\x00\x00\x00", CM_E_OUT_OF_RANGE),
+	UNIT_BYTES("\x98\x01\xa1s\xa1z\x01\x02\x03\x00\x02", CM_E_OUT_OF_RANGE),
 };
 
 TEST_TABLE(bad_value_is_refused, values)
@@ -278,15 +275,15 @@
 	size_t size;
 	int error;
 } routes[] = {
-	VALUE("\x90", 0),
-	VALUE("\x91\x94\x01\x02\xa1s\x01", 0),
-	VALUE("\x91\x92\x01\x02", CM_E_TRUNCATED),
-	VALUE("\x91\x93\x01\x02\xa1s", CM_E_TRUNCATED),
-	VALUE("\x91\x94\x01\xa1x\xa1s\x01", CM_E_WRONG_TYPE),
-	VALUE("\x92\x94\x01\x02\xa1s\x01\x94\x01\x02\xa1s\x01",
-	      CM_E_SAME_ENDPOINT),
-	VALUE("\x92\x94\x01\x02\xa1s\x01", CM_E_MALFORMED),
-	VALUE("\x07", CM_E_WRONG_TYPE),
+	UNIT_BYTES("\x90", 0),
+	UNIT_BYTES("\x91\x94\x01\x02\xa1s\x01", 0),
+	UNIT_BYTES("\x91\x92\x01\x02", CM_E_TRUNCATED),
+	UNIT_BYTES("\x91\x93\x01\x02\xa1s", CM_E_TRUNCATED),
+	UNIT_BYTES("\x91\x94\x01\xa1x\xa1s\x01", CM_E_WRONG_TYPE),
+	UNIT_BYTES("\x92\x94\x01\x02\xa1s\x01\x94\x01\x02\xa1s\x01",
+		   CM_E_SAME_ENDPOINT),
+	UNIT_BYTES("\x92\x94\x01\x02\xa1s\x01", CM_E_MALFORMED),
+	UNIT_BYTES("\x07", CM_E_WRONG_TYPE),
 };
 
 TEST_TABLE(bad_routes_are_refused, routes)
