--- a/include/chervilmast/item_log.h
+++ b/include/chervilmast/item_log.h
@@ -145,6 +145,12 @@
 void cm_item_log_end(struct cm_item_log *log, uint64_t revision,
 		     uint64_t now_ms, cm_item_handler handler, void *user);
 
+/**
+ * cm_item_log_cancel() - a snapshot was not put to its end: nothing has gone
+ * @log: the copy; need not be in a snapshot
+ */
+void cm_item_log_cancel(struct cm_item_log *log);
+
 /**
  * cm_item_log_reached() - all changes up to a revision are in the copy
  * @log: the copy
--- a/src/core/item_log.c
+++ b/src/core/item_log.c
@@ -275,6 +275,14 @@
 	cm_item_log_reached(log, revision);
 }
 
+void cm_item_log_cancel(struct cm_item_log *log)
+{
+	if (!log->in_snapshot)
+		return;
+	log->in_snapshot = false;
+	sort(log);
+}
+
 void cm_item_log_reached(struct cm_item_log *log, uint64_t revision)
 {
 	if (revision > log->revision)
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -129,6 +129,12 @@
  */
 void cm_feed_begin(struct cm_feed *feed);
 
+/**
+ * cm_feed_cancel() - reading all of the registry failed
+ * @feed: the feed
+ */
+void cm_feed_cancel(struct cm_feed *feed);
+
 /**
  * cm_feed_sink() - takes what the registry tells
  * @feed: the feed
--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -18,8 +18,11 @@
 {
 	memcpy(request->name, feed->self.name, sizeof(request->name));
 	pthread_mutex_lock(&feed->lock);
-	if (now_ms >= feed->snapshot.began_ms + SNAPSHOT_MOST_MS)
+	if (feed->snapshot.of &&
+	    now_ms >= feed->snapshot.began_ms + SNAPSHOT_MOST_MS) {
 		feed->snapshot.of = 0;
+		cm_item_log_cancel(&feed->log);
+	}
 	request->snapshot_of = feed->snapshot.of;
 	request->after =
 		feed->snapshot.of ? feed->snapshot.after : feed->log.revision;
--- a/src/daemon/feed_registry.c
+++ b/src/daemon/feed_registry.c
@@ -43,6 +43,13 @@
 	pthread_mutex_unlock(&feed->lock);
 }
 
+void cm_feed_cancel(struct cm_feed *feed)
+{
+	pthread_mutex_lock(&feed->lock);
+	cm_item_log_cancel(&feed->log);
+	pthread_mutex_unlock(&feed->lock);
+}
+
 static void on_server(void *user, const struct cm_server_entry *entry,
 		      uint64_t revision)
 {
@@ -229,6 +236,8 @@
 	uint64_t now_ms = cm_clock_ms();
 
 	pthread_mutex_lock(&feed->lock);
+	feed->snapshot.of = 0;
+	cm_item_log_cancel(&feed->log);
 	cm_item_log_reached(&feed->log, revision);
 	if (now_ms >= feed->swept_ms + SWEEP_MS && now_ms > GONE_KEPT_MS) {
 		cm_item_log_sweep(&feed->log, now_ms - GONE_KEPT_MS);
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -92,6 +92,8 @@
 	cm_counters_add(&loop->feed->steer->counters, CM_C_REGISTRY_SNAPSHOTS);
 	cm_feed_begin(loop->feed);
 	error = loop->registry->ops->read(loop->registry, may_be_stale, &sink);
+	if (error)
+		cm_feed_cancel(loop->feed);
 	time_call(loop, CM_H_STORE_READ, begin_ms);
 	return error;
 }
--- a/tests/unit/test_feed_exchange.c
+++ b/tests/unit/test_feed_exchange.c
@@ -229,6 +229,37 @@
 	ck_assert_uint_eq(cm_feed_revision(&follower.feed), SERVERS);
 }
 
+/* An instance whose read of the registry failed still serves what it had. */
+TEST(read_that_failed_changes_nothing)
+{
+	const struct cm_registry_sink sink = cm_feed_sink(&source.feed, true);
+	const struct cm_server_entry entry = server(7);
+
+	tell_all(&source, 20);
+	cm_feed_begin(&source.feed);
+	sink.server(sink.user, &entry, 7);
+	cm_feed_cancel(&source.feed);
+	ask_all(&source, SOURCE_INCARNATION);
+	ck_assert_uint_eq(follower.steer.servers.count, 20);
+	ck_assert_uint_eq(cm_feed_revision(&follower.feed), 20);
+}
+
+/* A snapshot whose giver went is followed by what the registry tells. */
+TEST(snapshot_may_be_left_for_the_registry)
+{
+	const struct cm_registry_sink sink =
+		cm_feed_sink(&follower.feed, false);
+
+	tell_all(&follower, 3);
+	tell_all(&source, SERVERS);
+	source.feed.log.complete_since = SERVERS;
+	ck_assert(ask(&source, SOURCE_INCARNATION));
+	sink.server_gone(sink.user, 3, SERVERS + 1);
+	sink.reached(sink.user, SERVERS + 1);
+	ck_assert(!follower.feed.log.in_snapshot);
+	ck_assert_uint_eq(cm_feed_revision(&follower.feed), SERVERS + 1);
+}
+
 static void tell_plan(struct side *side, uint64_t version, uint32_t routes,
 		      uint64_t revision)
 {
