--- a/include/chervilmast/server_health.h
+++ b/include/chervilmast/server_health.h
@@ -33,7 +33,7 @@
  * struct cm_server_health - what a node saw of a backend server
  * @unanswered: SYNs in a row that got no answer
  * @unanswered_ms: when the last of them was sent
- * @doubted_until_ms: until then another node's report of it holds; 0 for none
+ * @reported_until_ms: until then another node's report of it holds; 0 for none
  * @is_reached: a probe reached the server after the last of them
  * @reached_ms: when a probe last reached it; 0 for never
  * @rests_until_ms: no probe before; 0 for no rest
@@ -51,7 +51,7 @@
 struct cm_server_health {
 	uint32_t unanswered;
 	uint64_t unanswered_ms;
-	uint64_t doubted_until_ms;
+	uint64_t reported_until_ms;
 	bool is_reached;
 	uint64_t reached_ms;
 	uint64_t rests_until_ms;
@@ -88,7 +88,7 @@
 				 uint64_t sent_ms);
 
 /**
- * cm_server_health_doubt() - another node reports the server as silent
+ * cm_server_health_reported() - another node reports the server as silent
  * @health: what was seen
  * @now_ms: current time
  *
@@ -96,7 +96,8 @@
  * saw it silent, not by all who hear of it. An answer of the last moments
  * weighs more.
  */
-void cm_server_health_doubt(struct cm_server_health *health, uint64_t now_ms);
+void cm_server_health_reported(struct cm_server_health *health,
+			       uint64_t now_ms);
 
 /**
  * cm_server_health_failed() - whether an end of a flow is a failure
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -428,14 +428,14 @@
 			   uint32_t *tokens, uint32_t most);
 
 /**
- * cm_steer_doubt() - other nodes report servers as silent
+ * cm_steer_take_reports() - other nodes report servers as silent
  * @steer: the node
  * @now_ms: current time
  * @tokens: tokens of the servers
  * @count: number of @tokens
  */
-void cm_steer_doubt(struct cm_steer *steer, uint64_t now_ms,
-		    const uint32_t *tokens, uint32_t count);
+void cm_steer_take_reports(struct cm_steer *steer, uint64_t now_ms,
+			   const uint32_t *tokens, uint32_t count);
 
 /**
  * cm_steer_take_failures() - flows that this node saw fail since the last call
--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -33,8 +33,8 @@
  * so that a flow waits about as long as it is worked on.
  */
 #define FULL_PER_SLOT 2
-/** Silent servers by which a whole failure domain is in doubt. */
-#define DOUBT_SERVERS 2
+/** Silent servers by which a whole failure domain is suspected. */
+#define SUSPECT_SERVERS 2
 /** Time for which the sums of a service hold, ms... */
 #define SUMS_HOLD_MS 200
 /** ...if it has more servers than this; with fewer they are made anew. */
@@ -103,7 +103,7 @@
 	pool->summed_ms = now_ms;
 }
 
-static void look_at_suspects(struct cm_outlook *outlook,
+static void look_at_suspects(struct cm_choice_context *context,
 			     const struct cm_steer *steer)
 {
 	const struct cm_steer_domains *domains = &steer->peers.domains;
@@ -112,7 +112,7 @@
 	TAILQ_FOREACH (server, &steer->servers.suspects, suspect_link) {
 		uint32_t place =
 			cm_steer_domains_find(domains, server->domain_hash);
-		struct cm_domain_view *view = &outlook->domains[place];
+		struct cm_choice_domain *view = &context->domains[place];
 
 		if (place == domains->count)
 			continue;
@@ -122,12 +122,13 @@
 	}
 }
 
-static void look_at_domains(struct cm_outlook *outlook, struct cm_steer *steer)
+static void look_at_domains(struct cm_choice_context *context,
+			    struct cm_steer *steer)
 {
 	struct cm_steer_domains *domains = &steer->peers.domains;
 	const struct cm_server_group *group;
 
-	LIST_FOREACH(group, &outlook->pool->groups, link)
+	LIST_FOREACH(group, &context->pool->groups, link)
 	{
 		/* Adds it, so that it is told apart when servers fall silent.
 		 */
@@ -135,45 +136,47 @@
 			cm_steer_domains_get(domains, group->domain_hash);
 
 		if (domain)
-			outlook->domains[domain - domains->items]
+			context->domains[domain - domains->items]
 				.has_candidate = group->candidates > 0;
 	}
 	for (uint32_t i = 0; i < domains->count; i++)
-		if (!outlook->domains[i].has_candidate)
-			outlook->strangers += domains->items[i].nodes;
+		if (!context->domains[i].has_candidate)
+			context->outside_nodes += domains->items[i].nodes;
 }
 
-void cm_outlook_init(struct cm_outlook *outlook, struct cm_steer *steer,
-		     const struct cm_choice *choice,
-		     struct cm_server_pool *pool)
+void cm_choice_context_init(struct cm_choice_context *context,
+			    struct cm_steer *steer,
+			    const struct cm_choice *choice,
+			    struct cm_server_pool *pool)
 {
-	memset(outlook, 0, sizeof(*outlook));
-	outlook->choice = choice;
-	outlook->pool = pool;
+	memset(context, 0, sizeof(*context));
+	context->choice = choice;
+	context->pool = pool;
 	sum_pool(steer, pool, choice->now_ms);
-	look_at_domains(outlook, steer);
-	look_at_suspects(outlook, steer);
+	look_at_domains(context, steer);
+	look_at_suspects(context, steer);
 }
 
-bool cm_outlook_is_in_doubt(const struct cm_outlook *outlook,
-			    const struct cm_steer *steer, uint64_t domain_hash)
+bool cm_choice_context_is_suspect(const struct cm_choice_context *context,
+				  const struct cm_steer *steer,
+				  uint64_t domain_hash)
 {
 	const struct cm_steer_domains *domains = &steer->peers.domains;
 	uint32_t place = cm_steer_domains_find(domains, domain_hash);
 
 	return place < domains->count &&
-	       outlook->domains[place].silent >= DOUBT_SERVERS &&
+	       context->domains[place].silent >= SUSPECT_SERVERS &&
 	       domains->items[place].answered_ms <
-		       outlook->domains[place].silent_ms;
+		       context->domains[place].silent_ms;
 }
 
 uint32_t cm_server_sharers(const struct cm_steer_server *server,
 			   const struct cm_steer *steer,
-			   const struct cm_outlook *outlook)
+			   const struct cm_choice_context *context)
 {
 	const struct cm_steer_domains *domains = &steer->peers.domains;
 	uint32_t place = cm_steer_domains_find(domains, server->domain_hash);
-	uint32_t count = outlook->strangers;
+	uint32_t count = context->outside_nodes;
 
 	if (place < domains->count)
 		count += domains->items[place].nodes;
@@ -184,31 +187,31 @@
  */
 static uint64_t load(const struct cm_steer_server *server,
 		     const struct cm_steer *steer,
-		     const struct cm_outlook *outlook)
+		     const struct cm_choice_context *context)
 {
 	if (!server->open)
 		return 0;
 	return (uint64_t)server->open *
-	       cm_server_sharers(server, steer, outlook) * PER_MILLE /
+	       cm_server_sharers(server, steer, context) * PER_MILLE /
 	       server->entry.slots;
 }
 
 bool cm_server_is_full(const struct cm_steer_server *server,
 		       const struct cm_steer *steer,
-		       const struct cm_outlook *outlook)
+		       const struct cm_choice_context *context)
 {
-	return load(server, steer, outlook) >= FULL_PER_SLOT * PER_MILLE;
+	return load(server, steer, context) >= FULL_PER_SLOT * PER_MILLE;
 }
 
 /* Time that a flow takes there, thousandths of the usual; slight ones are 1. */
 static uint64_t slowness(const struct cm_steer_server *server,
-			 const struct cm_outlook *outlook)
+			 const struct cm_choice_context *context)
 {
-	const struct cm_pool_sums *sums = &outlook->pool->sums;
+	const struct cm_pool_sums *sums = &context->pool->sums;
 	uint64_t ratio;
 
 	if (sums->usual_count < 2 ||
-	    !service_time_is_known(server, outlook->choice->now_ms))
+	    !service_time_is_known(server, context->choice->now_ms))
 		return PER_MILLE;
 	ratio = (uint64_t)server->health.service_eighths * PER_MILLE *
 		sums->usual_count / (sums->usual_sum + 1);
@@ -217,11 +220,11 @@
 
 /* Where many fail, it is not the servers, or they are needed all the same. */
 static uint64_t warned_cost(const struct cm_steer_server *server,
-			    const struct cm_outlook *outlook)
+			    const struct cm_choice_context *context)
 {
-	const struct cm_pool_sums *sums = &outlook->pool->sums;
+	const struct cm_pool_sums *sums = &context->pool->sums;
 
-	if (!is_warned_of(server, outlook->choice->now_ms) ||
+	if (!is_warned_of(server, context->choice->now_ms) ||
 	    sums->warned * WARNED_PART > sums->candidates)
 		return 0;
 	return WARNED_COST;
@@ -229,14 +232,14 @@
 
 /* What a server costs that fails more often than the service's others. */
 static uint64_t failing_cost(const struct cm_steer_server *server,
-			     const struct cm_outlook *outlook)
+			     const struct cm_choice_context *context)
 {
-	const struct cm_pool_sums *sums = &outlook->pool->sums;
+	const struct cm_pool_sums *sums = &context->pool->sums;
 	uint64_t failed = server->health.failed_per_mille;
 	uint64_t usual;
 
-	if (!quality_is_known(server, outlook->choice->now_ms))
-		return warned_cost(server, outlook);
+	if (!quality_is_known(server, context->choice->now_ms))
+		return warned_cost(server, context);
 	if (!sums->failed_count)
 		return 0;
 	usual = sums->failed_sum / sums->failed_count;
@@ -254,18 +257,18 @@
 
 uint64_t cm_server_cost(const struct cm_steer_server *server,
 			const struct cm_steer *steer,
-			const struct cm_outlook *outlook)
+			const struct cm_choice_context *context)
 {
-	uint64_t sum = (CM_COST_FREE + load(server, steer, outlook)) *
-		       slowness(server, outlook) / PER_MILLE;
+	uint64_t sum = (CM_COST_FREE + load(server, steer, context)) *
+		       slowness(server, context) / PER_MILLE;
 
-	sum += failing_cost(server, outlook);
+	sum += failing_cost(server, context);
 	if (server->domain_hash != steer->domain_hash)
 		sum += REMOTE_COST;
-	if (outlook->choice->avoid_token &&
-	    !answered_lately(server, outlook->choice->now_ms))
+	if (context->choice->avoid_token &&
+	    !answered_lately(server, context->choice->now_ms))
 		sum += UNPROVEN_COST;
-	if (outlook->choice->now_ms < server->cold_until_ms)
+	if (context->choice->now_ms < server->cold_until_ms)
 		sum += COLD_COST;
 	return sum;
 }
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -5,7 +5,7 @@
 /** The last flow makes up one part in so many of the share that failed. */
 #define FAILED_PART 4
 /** Time for which another node's word holds, ms. */
-#define DOUBT_HOLDS_MS 2000
+#define REPORT_HOLDS_MS 2000
 /** Time for which an answer outweighs another node's word, ms. */
 #define ANSWER_HOLDS_MS 300
 /** Time for which another node's word of failures holds, ms. */
@@ -18,7 +18,7 @@
 	bool was_suspected = health->unanswered > 0;
 
 	health->unanswered = 0;
-	health->doubted_until_ms = 0;
+	health->reported_until_ms = 0;
 	health->probes = 0;
 	health->answered_ms = now_ms;
 	return was_suspected;
@@ -38,12 +38,12 @@
 	return health->unanswered == 1;
 }
 
-void cm_server_health_doubt(struct cm_server_health *health, uint64_t now_ms)
+void cm_server_health_reported(struct cm_server_health *health, uint64_t now_ms)
 {
 	if (health->answered_ms &&
 	    now_ms < health->answered_ms + ANSWER_HOLDS_MS)
 		return;
-	health->doubted_until_ms = now_ms + DOUBT_HOLDS_MS;
+	health->reported_until_ms = now_ms + REPORT_HOLDS_MS;
 }
 
 /* What is stale counts half: the server may have been mended. */
@@ -135,7 +135,7 @@
 bool cm_server_health_may_try(const struct cm_server_health *health,
 			      uint64_t now_ms)
 {
-	if (now_ms < health->doubted_until_ms)
+	if (now_ms < health->reported_until_ms)
 		return false;
 	return !health->unanswered || health->is_reached;
 }
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -38,9 +38,9 @@
 
 static bool cold_start_allows(const struct cm_steer *steer,
 			      struct cm_steer_server *server,
-			      const struct cm_outlook *outlook)
+			      const struct cm_choice_context *context)
 {
-	uint64_t now_ms = outlook->choice->now_ms;
+	uint64_t now_ms = context->choice->now_ms;
 	const struct cm_steer_service *service;
 
 	if (now_ms >= server->cold_until_ms)
@@ -49,16 +49,16 @@
 	if (!service || !service->cold_per_s)
 		return true;
 	refill_cold(server, service->cold_per_s,
-		    cm_server_sharers(server, steer, outlook), now_ms);
+		    cm_server_sharers(server, steer, context), now_ms);
 	return server->cold_tokens >= PER_MILLE;
 }
 
 /* Servers that answer; those under suspicion once a probe reached them. */
 static bool may_get(const struct cm_steer *steer,
 		    struct cm_steer_server *server,
-		    const struct cm_outlook *outlook)
+		    const struct cm_choice_context *context)
 {
-	const struct cm_choice *choice = outlook->choice;
+	const struct cm_choice *choice = context->choice;
 
 	if (!cm_steer_server_is_usable(steer, server, choice->now_ms) ||
 	    server->token == choice->avoid_token)
@@ -66,9 +66,9 @@
 	if (!cm_server_health_may_try(&server->health, choice->now_ms))
 		return false;
 	if (!server->health.is_reached &&
-	    cm_outlook_is_in_doubt(outlook, steer, server->domain_hash))
+	    cm_choice_context_is_suspect(context, steer, server->domain_hash))
 		return false;
-	return cold_start_allows(steer, server, outlook);
+	return cold_start_allows(steer, server, context);
 }
 
 /**
@@ -95,11 +95,11 @@
 }
 
 static void compare(struct cm_steer *steer, struct cm_steer_server *server,
-		    const struct cm_outlook *outlook, struct best *best)
+		    const struct cm_choice_context *context, struct best *best)
 {
-	uint64_t cost = cm_server_cost(server, steer, outlook);
+	uint64_t cost = cm_server_cost(server, steer, context);
 
-	if (!cm_server_is_full(server, steer, outlook))
+	if (!cm_server_is_full(server, steer, context))
 		best->is_full = false;
 	if (!is_better(server, cost, best) || !is_named_by_token(steer, server))
 		return;
@@ -110,7 +110,8 @@
 /* Ends at the first server that costs no more than a free one. */
 static void search_group(struct cm_steer *steer,
 			 const struct cm_server_group *group,
-			 const struct cm_outlook *outlook, struct best *best)
+			 const struct cm_choice_context *context,
+			 struct best *best)
 {
 	uint64_t least = cm_server_least_cost(steer, group->domain_hash);
 	uint32_t compared = 0;
@@ -121,9 +122,9 @@
 			group->members[(group->next + i) % group->count];
 
 		steer->examined++;
-		if (!may_get(steer, server, outlook))
+		if (!may_get(steer, server, context))
 			continue;
-		compare(steer, server, outlook, best);
+		compare(steer, server, context, best);
 		if (best->server && best->cost <= least)
 			return;
 		compared++;
@@ -131,22 +132,22 @@
 }
 
 /* The own failure domain first; others while one of theirs may cost less. */
-static struct cm_steer_server *choose_best(struct cm_steer *steer,
-					   const struct cm_outlook *outlook,
-					   bool *is_full)
+static struct cm_steer_server *
+choose_best(struct cm_steer *steer, const struct cm_choice_context *context,
+	    bool *is_full)
 {
 	struct best best = { .is_full = true };
 	const struct cm_server_group *group;
 
-	LIST_FOREACH(group, &outlook->pool->groups, link)
+	LIST_FOREACH(group, &context->pool->groups, link)
 	if (group->domain_hash == steer->domain_hash)
-		search_group(steer, group, outlook, &best);
-	LIST_FOREACH(group, &outlook->pool->groups, link)
+		search_group(steer, group, context, &best);
+	LIST_FOREACH(group, &context->pool->groups, link)
 	if (group->domain_hash != steer->domain_hash &&
 	    (!best.server ||
 	     best.cost > cm_server_least_cost(steer, group->domain_hash) ||
 	     best.is_full))
-		search_group(steer, group, outlook, &best);
+		search_group(steer, group, context, &best);
 	*is_full = best.is_full;
 	return best.server;
 }
@@ -168,17 +169,17 @@
 
 static void search_suspects(struct cm_steer *steer,
 			    const struct cm_server_group *group,
-			    const struct cm_outlook *outlook,
+			    const struct cm_choice_context *context,
 			    struct cm_steer_server **best)
 {
-	uint64_t now_ms = outlook->choice->now_ms;
+	uint64_t now_ms = context->choice->now_ms;
 
 	for (uint32_t i = 0; i < group->count; i++) {
 		struct cm_steer_server *server = group->members[i];
 
 		if (!cm_steer_server_is_usable(steer, server, now_ms) ||
 		    !is_named_by_token(steer, server) ||
-		    !cold_start_allows(steer, server, outlook))
+		    !cold_start_allows(steer, server, context))
 			continue;
 		if (is_better_suspect(server, *best, now_ms))
 			*best = server;
@@ -187,14 +188,14 @@
 }
 
 /* When no failure domain seems to answer. */
-static struct cm_steer_server *choose_suspect(struct cm_steer *steer,
-					      const struct cm_outlook *outlook)
+static struct cm_steer_server *
+choose_suspect(struct cm_steer *steer, const struct cm_choice_context *context)
 {
 	const struct cm_server_group *group;
 	struct cm_steer_server *best = NULL;
 
-	LIST_FOREACH(group, &outlook->pool->groups, link)
-	search_suspects(steer, group, outlook, &best);
+	LIST_FOREACH(group, &context->pool->groups, link)
+	search_suspects(steer, group, context, &best);
 	return best;
 }
 
@@ -205,17 +206,17 @@
 	struct cm_server_pool *pool = cm_server_pools_find(
 		&steer->servers.pools, cm_steer_name_hash(choice->service));
 	struct cm_steer_server *server;
-	struct cm_outlook outlook;
+	struct cm_choice_context context;
 
 	*is_full = false;
 	if (!pool)
 		return NULL;
-	cm_outlook_init(&outlook, steer, choice, pool);
-	server = choose_best(steer, &outlook, is_full);
+	cm_choice_context_init(&context, steer, choice, pool);
+	server = choose_best(steer, &context, is_full);
 	if (server)
 		return server;
 	*is_full = false;
-	return choose_suspect(steer, &outlook);
+	return choose_suspect(steer, &context);
 }
 
 void cm_steer_chosen(struct cm_steer *steer, struct cm_steer_server *server,
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -311,8 +311,8 @@
 	return count;
 }
 
-void cm_steer_doubt(struct cm_steer *steer, uint64_t now_ms,
-		    const uint32_t *tokens, uint32_t count)
+void cm_steer_take_reports(struct cm_steer *steer, uint64_t now_ms,
+			   const uint32_t *tokens, uint32_t count)
 {
 	pthread_mutex_lock(&steer->lock);
 	for (uint32_t i = 0; i < count; i++) {
@@ -320,7 +320,7 @@
 			cm_steer_servers_by_token(&steer->servers, tokens[i]);
 
 		if (server)
-			cm_server_health_doubt(&server->health, now_ms);
+			cm_server_health_reported(&server->health, now_ms);
 	}
 	pthread_mutex_unlock(&steer->lock);
 }
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -10,7 +10,7 @@
 	feed->steer = steer;
 	feed->self = config->self;
 	feed->incarnation = config->incarnation;
-	feed->alone_ms = config->alone_ms;
+	feed->stale_ms = config->stale_ms;
 	pthread_mutex_init(&feed->lock, NULL);
 	cm_item_log_init(&feed->log);
 	feed->version = 0;
@@ -70,11 +70,11 @@
  * A silent source is a reason to ask the registry; an outage of the registry,
  * or a source that answers late since all are busy, is none.
  */
-static bool is_alone(const struct cm_feed *feed, uint64_t now_ms)
+static bool must_ask_registry(const struct cm_feed *feed, uint64_t now_ms)
 {
-	return feed->is_confirmed && !feed->is_lost && feed->alone_ms &&
+	return feed->is_confirmed && !feed->is_lost && feed->stale_ms &&
 	       !feed->source.is_proven &&
-	       now_ms >= cm_steer_heard_ms(feed->steer) + feed->alone_ms;
+	       now_ms >= cm_steer_heard_ms(feed->steer) + feed->stale_ms;
 }
 
 bool cm_feed_source(struct cm_feed *feed, uint64_t now_ms,
@@ -83,7 +83,7 @@
 	bool may_ask;
 
 	pthread_mutex_lock(&feed->lock);
-	may_ask = feed->log.revision && !is_alone(feed, now_ms) &&
+	may_ask = feed->log.revision && !must_ask_registry(feed, now_ms) &&
 		  cm_steer_source(feed->steer, feed->self.name, now_ms,
 				  &feed->source, source) &&
 		  cm_feed_source_may_ask(&feed->source, source->name, now_ms);
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -37,7 +37,7 @@
  * @steer: the node
  * @self: entry of this instance
  * @incarnation: of this instance; differs from start to start
- * @alone_ms: age of the registry's word from which the registry itself is asked
+ * @stale_ms: age of the registry's word from which the registry itself is asked
  * @lock: guards all below
  * @log: the items
  * @version: version of the plan that was put in force; 0 for none
@@ -63,7 +63,7 @@
 	struct cm_steer *steer;
 	struct cm_peer_entry self;
 	uint64_t incarnation;
-	uint64_t alone_ms;
+	uint64_t stale_ms;
 	pthread_mutex_t lock;
 	struct cm_item_log log;
 	uint64_t version;
@@ -91,13 +91,13 @@
  * @self: entry of this instance
  * @incarnation: of this instance; differs from start to start, not 0
  * @age_max_ms: oldest word of another instance that will do
- * @alone_ms: age of the registry's word from which the registry itself is asked
+ * @stale_ms: age of the registry's word from which the registry itself is asked
  */
 struct cm_feed_config {
 	struct cm_peer_entry self;
 	uint64_t incarnation;
 	uint64_t age_max_ms;
-	uint64_t alone_ms;
+	uint64_t stale_ms;
 };
 
 /**
--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -156,8 +156,8 @@
 	if (!error)
 		note_age(feed, now_ms, items, is_good);
 	pthread_mutex_unlock(&feed->lock);
-	cm_steer_doubt(feed->steer, now_ms, items->suspects.tokens,
-		       items->suspects.count);
+	cm_steer_take_reports(feed->steer, now_ms, items->suspects.tokens,
+			      items->suspects.count);
 	cm_steer_warn(feed->steer, now_ms, items->failing.tokens,
 		      items->failing.count);
 	return error;
@@ -303,8 +303,8 @@
 	exchange_suspects(feed, now_ms, &request->suspects, &items->suspects);
 	exchange_failures(feed, now_ms, &request->failures, &items->failing);
 	pthread_mutex_unlock(&feed->lock);
-	cm_steer_doubt(feed->steer, now_ms, request->suspects.tokens,
-		       request->suspects.count);
+	cm_steer_take_reports(feed->steer, now_ms, request->suspects.tokens,
+			      request->suspects.count);
 	cm_steer_warn(feed->steer, now_ms, items->failing.tokens,
 		      items->failing.count);
 	return error;
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -29,7 +29,7 @@
 #define AGE_MARGIN_MS 600
 /** What an instance that no source answers has to know in time before a bound,
  * ms: a call to the registry and its trouble. */
-#define ALONE_MARGIN_MS 500
+#define STALE_MARGIN_MS 500
 /** Part of a bound that is left for packets on their way, ms. */
 #define DOMAIN_OUT_MARGIN_MS 500
 /**
@@ -116,11 +116,11 @@
 
 /* Age of the registry's word from which an instance asks the registry itself.
  */
-static uint32_t alone_ms(const struct cm_steer_settings *settings)
+static uint32_t stale_ms(const struct cm_steer_settings *settings)
 {
 	uint32_t bound_ms = shortest_bound_ms(settings);
 
-	return bound_ms > ALONE_MARGIN_MS ? bound_ms - ALONE_MARGIN_MS : 1;
+	return bound_ms > STALE_MARGIN_MS ? bound_ms - STALE_MARGIN_MS : 1;
 }
 
 /* Oldest word of another instance that will do. */
@@ -202,7 +202,7 @@
 					   cm_clock_us()) |
 			       1,
 		.age_max_ms = age_max_ms(settings),
-		.alone_ms = alone_ms(settings),
+		.stale_ms = stale_ms(settings),
 	};
 
 	memcpy(config.self.name, settings->name, sizeof(config.self.name));
--- a/tests/unit/test_feed_exchange.c
+++ b/tests/unit/test_feed_exchange.c
@@ -423,7 +423,7 @@
 {
 	struct cm_peer_entry asked;
 
-	source.feed.alone_ms = 2500;
+	source.feed.stale_ms = 2500;
 	tell_all(&source, 3);
 	tell_members(&source, "a-5", 4);
 	ck_assert(cm_feed_source(&source.feed, NOW_MS + 2400, &asked));
--- a/tests/unit/test_steer_outage.c
+++ b/tests/unit/test_steer_outage.c
@@ -291,7 +291,7 @@
 
 	steering_ready(2);
 	for (int report = 0; report < 3; report++) {
-		cm_steer_doubt(&steering, steering_ms, &token, 1);
+		cm_steer_take_reports(&steering, steering_ms, &token, 1);
 		for (uint16_t port = 1; port <= 4; port++)
 			ck_assert_uint_ne(steering_syn(port, 0).server_id, 1);
 		ck_assert_uint_eq(
@@ -306,9 +306,9 @@
 	ck_assert_uint_eq(steering_syn(9, 0).server_id, 1);
 	/* An answer that the node saw itself weighs more for a while. */
 	steering_packet(9, token, CM_STEER_ACK);
-	cm_steer_doubt(&steering, steering_ms, &token, 1);
+	cm_steer_take_reports(&steering, steering_ms, &token, 1);
 	ck_assert_uint_eq(cm_steer_servers_by_id(&steering.servers, 1)
-				  ->health.doubted_until_ms,
+				  ->health.reported_until_ms,
 			  0);
 }
 
@@ -324,7 +324,7 @@
 	ck_assert_uint_eq(cm_steer_next_probe(&steering, steering_ms, &address),
 			  silent.token);
 	cm_steer_reached(&steering, steering_ms, silent.token);
-	cm_steer_doubt(&steering, steering_ms, &silent.token, 1);
+	cm_steer_take_reports(&steering, steering_ms, &silent.token, 1);
 	for (uint16_t port = 2; port <= 6; port++)
 		ck_assert_uint_ne(steering_syn(port, 0).token, silent.token);
 }
@@ -354,7 +354,7 @@
 	struct cm_endpoint address;
 
 	steering_ready(2);
-	cm_steer_doubt(&steering, steering_ms, &token, 1);
+	cm_steer_take_reports(&steering, steering_ms, &token, 1);
 	ck_assert_uint_eq(cm_steer_suspects(&steering, steering_ms, tokens, 4),
 			  0);
 	verdict = steering_syn(1, 0);
