--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -17,6 +17,8 @@
 	feed->plan_differs = false;
 	memset(&feed->snapshot, 0, sizeof(feed->snapshot));
 	cm_roster_init(&feed->roster);
+	feed->reads_stale = false;
+	feed->is_stale = false;
 	feed->members_revision = 0;
 	feed->has_plan = false;
 	cm_feed_source_init(&feed->source, config->age_max_ms);
@@ -49,6 +51,25 @@
 	return revision;
 }
 
+bool cm_feed_is_stale(struct cm_feed *feed)
+{
+	bool is_stale;
+
+	pthread_mutex_lock(&feed->lock);
+	is_stale = feed->is_stale;
+	pthread_mutex_unlock(&feed->lock);
+	return is_stale;
+}
+
+void cm_feed_set_whole(struct cm_feed *feed, uint64_t revision)
+{
+	if (!feed->is_stale)
+		return;
+	feed->is_stale = false;
+	feed->log.revision = revision;
+	feed->log.complete_since = revision;
+}
+
 void cm_feed_heard(struct cm_feed *feed, uint64_t now_ms)
 {
 	pthread_mutex_lock(&feed->lock);
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -44,6 +44,9 @@
  * @plan_differs: its routes or services have changed since
  * @snapshot: snapshot in progress
  * @roster: members of the failure domain
+ * @reads_stale: the read that has begun may tell what is some seconds old
+ * @is_stale: what is known may be: its revision says nothing, and a whole copy
+ *            has to follow
  * @members_revision: revision of their entry in the registry; 0 for none
  * @has_plan: the snapshot of the registry has a plan
  * @listed: room for a list of members
@@ -70,6 +73,8 @@
 	bool plan_differs;
 	struct cm_feed_snapshot snapshot;
 	struct cm_roster roster;
+	bool reads_stale;
+	bool is_stale;
 	uint64_t members_revision;
 	bool has_plan;
 	struct cm_peer_entry listed[CM_ROSTER_MAX];
@@ -126,8 +131,24 @@
 /**
  * cm_feed_begin() - all items of the registry are about to be told
  * @feed: the feed
+ * @may_be_stale: what is told may be some seconds old
  */
-void cm_feed_begin(struct cm_feed *feed);
+void cm_feed_begin(struct cm_feed *feed, bool may_be_stale);
+
+/**
+ * cm_feed_is_stale() - whether a whole copy has to follow a stale one
+ * @feed: the feed
+ *
+ * Return: true after a read that was allowed to be stale.
+ */
+bool cm_feed_is_stale(struct cm_feed *feed);
+
+/**
+ * cm_feed_set_whole() - a copy that is not stale has come to its end
+ * @feed: the feed; its lock is held
+ * @revision: revision that it is of
+ */
+void cm_feed_set_whole(struct cm_feed *feed, uint64_t revision);
 
 /**
  * cm_feed_cancel() - reading all of the registry failed
--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -24,8 +24,9 @@
 		cm_item_log_cancel(&feed->log);
 	}
 	request->snapshot_of = feed->snapshot.of;
-	request->after =
-		feed->snapshot.of ? feed->snapshot.after : feed->log.revision;
+	request->after = feed->is_stale ? 0 : feed->log.revision;
+	if (feed->snapshot.of)
+		request->after = feed->snapshot.after;
 	pthread_mutex_unlock(&feed->lock);
 	request->suspects.count =
 		cm_steer_suspects(feed->steer, now_ms, request->suspects.tokens,
@@ -66,6 +67,7 @@
 	feed->snapshot.of = 0;
 	cm_item_log_end(&feed->log, items->revision, cm_clock_ms(), apply,
 			feed);
+	cm_feed_set_whole(feed, items->revision);
 	cm_log(CM_EVENT_SNAPSHOT, "of=%llx revision=%llu items=%u",
 	       (unsigned long long)incarnation,
 	       (unsigned long long)items->revision, feed->log.count);
@@ -78,7 +80,7 @@
 	if (feed->snapshot.of)
 		return incarnation == feed->snapshot.of &&
 		       items->after == feed->snapshot.after;
-	return items->after <= feed->log.revision;
+	return !feed->is_stale && items->after <= feed->log.revision;
 }
 
 static int take_items(struct cm_feed *feed, uint64_t now_ms,
@@ -230,7 +232,9 @@
 		     const struct cm_message_items_request *request,
 		     struct cm_message_items *items)
 {
-	items->revision = feed->log.in_snapshot ? 0 : feed->log.revision;
+	items->revision = feed->log.revision;
+	if (feed->log.in_snapshot || feed->is_stale)
+		items->revision = 0;
 	if (!items->revision)
 		return CM_OK;
 	items->after = request->after;
--- a/src/daemon/feed_registry.c
+++ b/src/daemon/feed_registry.c
@@ -34,9 +34,10 @@
 		cm_feed_apply(feed, item);
 }
 
-void cm_feed_begin(struct cm_feed *feed)
+void cm_feed_begin(struct cm_feed *feed, bool may_be_stale)
 {
 	pthread_mutex_lock(&feed->lock);
+	feed->reads_stale = may_be_stale;
 	feed->snapshot.of = 0;
 	feed->has_plan = false;
 	cm_item_log_begin(&feed->log);
@@ -225,8 +226,14 @@
 	if (!feed->has_plan)
 		cm_plan_items_keep(&feed->log);
 	cm_item_log_end(&feed->log, revision, cm_clock_ms(), apply, feed);
-	cm_log(CM_EVENT_SNAPSHOT, "of=registry revision=%llu items=%u",
-	       (unsigned long long)revision, feed->log.count);
+	if (feed->reads_stale)
+		feed->is_stale = true;
+	else
+		cm_feed_set_whole(feed, revision);
+	cm_log(CM_EVENT_SNAPSHOT,
+	       "of=registry revision=%llu items=%u may_be_stale=%d",
+	       (unsigned long long)revision, feed->log.count,
+	       feed->reads_stale);
 	pthread_mutex_unlock(&feed->lock);
 }
 
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -90,7 +90,7 @@
 	int error;
 
 	cm_counters_add(&loop->feed->steer->counters, CM_C_REGISTRY_SNAPSHOTS);
-	cm_feed_begin(loop->feed);
+	cm_feed_begin(loop->feed, may_be_stale);
 	error = loop->registry->ops->read(loop->registry, may_be_stale, &sink);
 	if (error)
 		cm_feed_cancel(loop->feed);
@@ -113,8 +113,11 @@
 
 static int call_registry(struct cm_registry_loop *loop)
 {
-	int error = wait_for_changes(loop, cm_feed_revision(loop->feed));
+	int error = CM_E_COMPACTED;
 
+	/* Nothing is known to have changed since a stale revision. */
+	if (!cm_feed_is_stale(loop->feed))
+		error = wait_for_changes(loop, cm_feed_revision(loop->feed));
 	if (error == CM_E_COMPACTED)
 		error = read_all(loop, false);
 	return error;
@@ -212,7 +215,8 @@
 }
 
 /*
- * The first read may be stale: the next step tells what has changed since.
+ * The first read may be stale, so that flows can be placed soon; the next step
+ * gives a whole copy.
  * Return: pause until then, ms.
  */
 static uint32_t step_first(struct cm_registry_loop *loop)
--- a/tests/unit/test_feed_exchange.c
+++ b/tests/unit/test_feed_exchange.c
@@ -83,7 +83,7 @@
 {
 	const struct cm_registry_sink sink = cm_feed_sink(&side->feed, true);
 
-	cm_feed_begin(&side->feed);
+	cm_feed_begin(&side->feed, false);
 	for (uint64_t id = 1; id <= count; id++) {
 		const struct cm_server_entry entry = server(id);
 
@@ -236,7 +236,7 @@
 	const struct cm_server_entry entry = server(7);
 
 	tell_all(&source, 20);
-	cm_feed_begin(&source.feed);
+	cm_feed_begin(&source.feed, false);
 	sink.server(sink.user, &entry, 7);
 	cm_feed_cancel(&source.feed);
 	ask_all(&source, SOURCE_INCARNATION);
@@ -323,6 +323,37 @@
 	ck_assert_uint_eq(follower.steer.plan.route_count, 2401);
 }
 
+/*
+ * A read that may be stale gives no revision to go on from: it may name one that
+ * its content has not reached.
+ */
+TEST(stale_copy_is_followed_by_a_whole_one)
+{
+	const struct cm_registry_sink sink = cm_feed_sink(&follower.feed, true);
+	const struct cm_server_entry entry = server(1);
+	struct cm_message message;
+
+	tell_all(&source, 3);
+	tell_plan(&source, 8, 5, 4);
+	cm_feed_begin(&follower.feed, true);
+	sink.server(sink.user, &entry, 1);
+	sink.reached(sink.user, 6);
+	tell_plan(&follower, 8, 5, 4);
+	/* What the stale copy lacks is older than the revision that it named. */
+	tell_plan(&source, 10, 9, 5);
+	tell_plan(&source, 12, 9, 7);
+	ck_assert(cm_feed_is_stale(&follower.feed));
+	message = answer(&follower, &source);
+	ck_assert_uint_eq(message.items.revision, 0);
+	cm_message_finish(&message);
+	ask_all(&source, SOURCE_INCARNATION);
+	ck_assert(!cm_feed_is_stale(&follower.feed));
+	ck_assert_uint_eq(follower.steer.plan.version, 12);
+	ck_assert_uint_eq(follower.steer.plan.route_count, 9);
+	ck_assert_uint_eq(follower.steer.servers.count, 3);
+	ck_assert_uint_eq(cm_feed_revision(&follower.feed), 7);
+}
+
 TEST(earlier_plan_is_refused)
 {
 	tell_all(&source, 3);
