--- a/src/adapters/plan_items.c
+++ b/src/adapters/plan_items.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "chervilmast/error.h"
 #include "item_value.h"
@@ -17,7 +18,7 @@
 #define ROUTE_FIELDS 2
 #define TARGET_FIELDS 2
 #define SERVICE_FIELDS 2
-#define VERSION_FIELDS 1
+#define VERSION_FIELDS 2
 
 #define PORT_MAX 65535
 
@@ -59,9 +60,16 @@
 	}
 }
 
-static void write_routes(const struct cm_steer_plan *plan,
-			 cm_plan_item_handler handler, void *user)
+static uint64_t add_digest(uint64_t digest, const char *value, size_t size)
 {
+	return cm_hash_mix(digest, XXH3_64bits(value, size));
+}
+
+/* Return: digest of the items. */
+static uint64_t write_routes(const struct cm_steer_plan *plan,
+			     cm_plan_item_handler handler, void *user)
+{
+	uint64_t digest = 0;
 	struct part parts[CM_PLAN_PARTS] = { 0 };
 	char key[KEY_SIZE];
 
@@ -81,12 +89,16 @@
 	for (uint32_t i = 0; i < CM_PLAN_PARTS; i++) {
 		routes_key(key, i);
 		handler(user, key, parts[i].buffer.data, parts[i].buffer.size);
+		digest = add_digest(digest, parts[i].buffer.data,
+				    parts[i].buffer.size);
 		msgpack_sbuffer_destroy(&parts[i].buffer);
 	}
+	return digest;
 }
 
-static void write_services(const struct cm_steer_plan *plan,
-			   cm_plan_item_handler handler, void *user)
+static uint64_t write_services(const struct cm_steer_plan *plan,
+			       uint64_t digest, cm_plan_item_handler handler,
+			       void *user)
 {
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
@@ -100,21 +112,24 @@
 		msgpack_pack_uint32(&packer, plan->services[i].cold_per_s);
 	}
 	handler(user, SERVICES_KEY, buffer.data, buffer.size);
+	digest = add_digest(digest, buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
+	return digest;
 }
 
 void cm_plan_items_write(const struct cm_steer_plan *plan,
 			 cm_plan_item_handler handler, void *user)
 {
+	uint64_t digest = write_routes(plan, handler, user);
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 
-	write_routes(plan, handler, user);
-	write_services(plan, handler, user);
+	digest = write_services(plan, digest, handler, user);
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer, VERSION_FIELDS);
 	msgpack_pack_uint64(&packer, plan->version);
+	msgpack_pack_uint64(&packer, digest);
 	handler(user, VERSION_KEY, buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
 }
@@ -285,7 +300,38 @@
 	cm_item_log_keep(log, VERSION_KEY);
 }
 
-int cm_plan_items_version(const struct cm_item *item, uint64_t *version)
+static int digest_of(const struct cm_item_log *log, uint64_t *digest)
+{
+	char key[KEY_SIZE] = SERVICES_KEY;
+
+	*digest = 0;
+	for (uint32_t i = 0; i <= CM_PLAN_PARTS; i++) {
+		const struct cm_item *item;
+
+		if (i < CM_PLAN_PARTS)
+			routes_key(key, i);
+		else
+			memcpy(key, SERVICES_KEY, sizeof(SERVICES_KEY));
+		item = cm_item_log_find(log, key);
+		if (!item || item->is_gone)
+			return CM_E_MISSING_KEY;
+		*digest = add_digest(*digest, item->value, item->size);
+	}
+	return CM_OK;
+}
+
+int cm_plan_items_check(const struct cm_item_log *log, uint64_t digest)
+{
+	uint64_t found;
+	int error = digest_of(log, &found);
+
+	if (error)
+		return error;
+	return found == digest ? CM_OK : CM_E_STALE;
+}
+
+int cm_plan_items_version(const struct cm_item *item, uint64_t *version,
+			  uint64_t *digest)
 {
 	struct cm_item_value value;
 	struct cm_reader whole, reader;
@@ -295,9 +341,17 @@
 	whole = cm_item_value_open(&value, item);
 	reader = cm_reader_struct(&whole, VERSION_FIELDS);
 	*version = cm_reader_number(&reader, UINT64_MAX);
+	*digest = cm_reader_number(&reader, UINT64_MAX);
 	return cm_item_value_close(&value);
 }
 
+const struct cm_item *cm_plan_items_last(const struct cm_item_log *log)
+{
+	const struct cm_item *item = cm_item_log_find(log, VERSION_KEY);
+
+	return item && !item->is_gone ? item : NULL;
+}
+
 bool cm_plan_items_has_content(const char *key)
 {
 	return !strncmp(key, ROUTES_KEY, strlen(ROUTES_KEY)) ||
--- a/src/adapters/plan_items.h
+++ b/src/adapters/plan_items.h
@@ -52,11 +52,31 @@
  * cm_plan_items_version() - version that an item gives
  * @item: an item
  * @version: set on success
+ * @digest: set on success to the digest of the plan's other items
  *
  * Return: 0; CM_E_UNSUPPORTED for another item of a plan; or an error of the
  * message codec.
  */
-int cm_plan_items_version(const struct cm_item *item, uint64_t *version);
+int cm_plan_items_version(const struct cm_item *item, uint64_t *version,
+			  uint64_t *digest);
+
+/**
+ * cm_plan_items_check() - whether the items of a plan are all there
+ * @log: where they are
+ * @digest: digest that came with the version
+ *
+ * Return: 0, CM_E_MISSING_KEY, or CM_E_STALE when one of them is not the one
+ * that belongs to the version.
+ */
+int cm_plan_items_check(const struct cm_item_log *log, uint64_t digest);
+
+/**
+ * cm_plan_items_last() - the item that gives the version
+ * @log: where it is
+ *
+ * Return: the item, or NULL when there is none.
+ */
+const struct cm_item *cm_plan_items_last(const struct cm_item_log *log);
 
 /**
  * cm_plan_items_has_content() - whether an item is content of a plan
--- a/src/adapters/registry_item.c
+++ b/src/adapters/registry_item.c
@@ -136,11 +136,11 @@
 static int decode_plan(const struct cm_item *item,
 		       const struct cm_registry_events *events)
 {
-	uint64_t version;
-	int error = cm_plan_items_version(item, &version);
+	uint64_t version, digest;
+	int error = cm_plan_items_version(item, &version, &digest);
 
 	if (!error)
-		events->plan(events->user, version);
+		events->plan(events->user, version, digest);
 	if (error == CM_E_UNSUPPORTED && cm_plan_items_has_content(item->key))
 		return CM_OK;
 	return error;
--- a/src/adapters/registry_item.h
+++ b/src/adapters/registry_item.h
@@ -32,7 +32,8 @@
  * struct cm_registry_events - what an item means
  * @server: entry of a backend server
  * @server_gone: the server with this id has no entry
- * @plan: the items of a plan of this version are all there (plan_items.h)
+ * @plan: a plan of this version, whose other items have this digest
+ *        (plan_items.h)
  * @domain_out: a failure domain was taken out, or back
  * @peer: entry of a node of the fleet
  * @peer_gone: the node of this name has no entry
@@ -41,7 +42,7 @@
 struct cm_registry_events {
 	void (*server)(void *user, const struct cm_server_entry *entry);
 	void (*server_gone)(void *user, uint64_t id);
-	void (*plan)(void *user, uint64_t version);
+	void (*plan)(void *user, uint64_t version, uint64_t digest);
 	void (*domain_out)(void *user, const char *domain, bool is_out);
 	void (*peer)(void *user, const struct cm_peer_entry *entry);
 	void (*peer_gone)(void *user, const char *name);
--- a/src/daemon/feed_events.c
+++ b/src/daemon/feed_events.c
@@ -71,19 +71,30 @@
 }
 
 /* Many plans differ in what only the operators see. */
-static void take_plan(void *user, uint64_t version)
+static int put_in_force(struct cm_feed *feed, uint64_t version)
+{
+	if (feed->version && !feed->plan_differs)
+		return cm_steer_raise_plan(feed->steer, version);
+	return build_plan(feed, version);
+}
+
+/* A copy that lacks a change of the plan is followed by a whole one. */
+static void take_plan(void *user, uint64_t version, uint64_t digest)
 {
 	struct cm_feed *feed = user;
-	bool is_same = feed->version && !feed->plan_differs;
-	int error = is_same ? cm_steer_raise_plan(feed->steer, version) :
-			      build_plan(feed, version);
+	bool differs = feed->plan_differs;
+	int error = cm_plan_items_check(&feed->log, digest);
 
+	if (error)
+		feed->is_stale = true;
+	else
+		error = put_in_force(feed, version);
 	if (!error) {
 		feed->version = version;
 		feed->plan_differs = false;
 	}
 	cm_log(CM_EVENT_PLAN, "version=%llu routes_differ=%d outcome=%s",
-	       (unsigned long long)version, !is_same, cm_error_name(error));
+	       (unsigned long long)version, differs, cm_error_name(error));
 }
 
 static void take_domain_out(void *user, const char *domain, bool is_out)
@@ -122,3 +133,13 @@
 	if (error)
 		cm_feed_bad_item(feed, item->key, error);
 }
+
+void cm_feed_settle_plan(struct cm_feed *feed)
+{
+	const struct cm_item *item = cm_plan_items_last(&feed->log);
+	uint64_t version, digest;
+
+	if (item && !cm_plan_items_version(item, &version, &digest) &&
+	    version > feed->version)
+		take_plan(feed, version, digest);
+}
--- a/src/daemon/feed_events.h
+++ b/src/daemon/feed_events.h
@@ -13,6 +13,12 @@
  */
 void cm_feed_apply(struct cm_feed *feed, const struct cm_item *item);
 
+/**
+ * cm_feed_settle_plan() - put a plan in force whose items came late
+ * @feed: the copy; its lock is held
+ */
+void cm_feed_settle_plan(struct cm_feed *feed);
+
 /**
  * cm_feed_bad_item() - count and log an item that can't be used
  * @feed: the copy
--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -68,6 +68,7 @@
 	cm_item_log_end(&feed->log, items->revision, cm_clock_ms(), apply,
 			feed);
 	cm_feed_set_whole(feed, items->revision);
+	cm_feed_settle_plan(feed);
 	cm_log(CM_EVENT_SNAPSHOT, "of=%llx revision=%llu items=%u",
 	       (unsigned long long)incarnation,
 	       (unsigned long long)items->revision, feed->log.count);
--- a/src/daemon/feed_registry.c
+++ b/src/daemon/feed_registry.c
@@ -230,6 +230,7 @@
 		feed->is_stale = true;
 	else
 		cm_feed_set_whole(feed, revision);
+	cm_feed_settle_plan(feed);
 	cm_log(CM_EVENT_SNAPSHOT,
 	       "of=registry revision=%llu items=%u may_be_stale=%d",
 	       (unsigned long long)revision, feed->log.count,
