Tell items on with the revision of their last write

An item that was written as it was kept its earlier revision, so instances had different revisions for one item: a source that had missed one plan kept the parts that the next one took back at a revision below that of its follower, which refused them or was not told.

--- a/include/chervilmast/item_log.h
+++ b/include/chervilmast/item_log.h
@@ -5,8 +5,9 @@
  * each. From it a node tells another one what has changed since any revision,
  * so that few nodes have to ask the registry. Items that went are kept for a
  * while, since their going has to be told too. Revisions never go back: what is
- * older than the copy is refused. An item that is written as it was keeps its
- * revision: nobody has to be told.
+ * older than the copy is refused. An item that is written as it was is told on
+ * with its new revision, since another node may have missed what was between,
+ * but means nothing new to this one.
  */
 #ifndef CHERVILMAST_ITEM_LOG_H
 #define CHERVILMAST_ITEM_LOG_H
--- a/src/core/item_log.c
+++ b/src/core/item_log.c
@@ -112,11 +112,16 @@
 	struct cm_item *item = find(log, key);
 	char *copy;
 
-	if (item &&
-	    (item->revision >= revision || has_value(item, value, size))) {
+	if (item && item->revision >= revision) {
 		item->is_seen = true;
 		return NULL;
 	}
+	if (item && has_value(item, value, size)) {
+		item->revision = revision;
+		item->is_seen = true;
+		move_to_revision(log, item);
+		return NULL;
+	}
 	copy = copy_bytes(value, size);
 	if (!item && copy)
 		item = add(log, key);
