--- a/include/chervilmast/item_log.h
+++ b/include/chervilmast/item_log.h
@@ -5,9 +5,9 @@
  * each. From it a node tells another one what has changed since any revision,
  * so that few nodes have to ask the registry. Items that went are kept for a
  * while, since their going has to be told too. Revisions never go back: what is
- * older than the copy is refused. An item that is written as it was is told on
- * with its new revision, since another node may have missed what was between,
- * but means nothing new to this one.
+ * older than the copy is refused. An item that is written as it was is handed
+ * on with its new revision, since another node may have missed what was
+ * between, but means nothing new to this one.
  */
 #ifndef CHERVILMAST_ITEM_LOG_H
 #define CHERVILMAST_ITEM_LOG_H
@@ -176,7 +176,7 @@
  * @handler: called for each item
  * @user: for @handler
  *
- * Return: revision up to which all was told: that of the copy, or an earlier
+ * Return: revision up to which all was given: that of the copy, or an earlier
  * one after which the next part begins.
  */
 uint64_t cm_item_log_tell(const struct cm_item_log *log, uint64_t after,
--- a/include/chervilmast/message.h
+++ b/include/chervilmast/message.h
@@ -245,7 +245,7 @@
  *         snapshot
  * @revision: revision up to which it knows the registry, or has the snapshot,
  *            with these items; 0 while the sender knows nothing
- * @age_ms: time since the sender last heard of the registry, CM_FEED_LOST or
+ * @age_ms: age of what the sender knows of the registry, CM_FEED_LOST or
  *          CM_FEED_LEAVES
  * @is_all: a snapshot begins with these items
  * @has_more: another part follows when it is asked for
--- a/include/chervilmast/roster.h
+++ b/include/chervilmast/roster.h
@@ -108,7 +108,7 @@
 bool cm_roster_is_first(const struct cm_roster *roster, const char *name);
 
 /**
- * cm_roster_is_due() - whether the registry should be told
+ * cm_roster_is_due() - whether the entry should be written
  * @roster: the roster
  * @now_ms: current time
  *
--- a/include/chervilmast/steer_domain.h
+++ b/include/chervilmast/steer_domain.h
@@ -22,7 +22,7 @@
 };
 
 /**
- * struct cm_steer_domains - the failure domains that were heard of
+ * struct cm_steer_domains - the failure domains that are known
  * @items: the domains
  * @count: number of @items
  */
--- a/src/adapters/plan_items.h
+++ b/src/adapters/plan_items.h
@@ -2,7 +2,7 @@
  * DOC: A plan as items of the registry
  *
  * The routes are dealt to a fixed number of items by their addresses, so that a
- * plan with few changes is told by few items. The version comes last: with it
+ * plan with few changes is given by few items. The version comes last: with it
  * the plan is whole.
  */
 #ifndef ADAPTERS_PLAN_ITEMS_H
--- a/src/adapters/registry_item.h
+++ b/src/adapters/registry_item.h
@@ -63,13 +63,13 @@
 			   const struct cm_peer_entry *entry);
 
 /**
- * cm_registry_item_decode() - tell what an item means
+ * cm_registry_item_decode() - decode an item
  * @item: the item
- * @events: who is told
+ * @events: called with what it means
  *
  * Return: 0; CM_E_UNSUPPORTED for a key of another kind, CM_E_BAD_NAME or
  * CM_E_BAD_ADDRESS for a key, or an error of the message codec for a value that
- * can't be read. Then nothing was told.
+ * can't be read. Then nothing was called.
  */
 int cm_registry_item_decode(const struct cm_item *item,
 			    const struct cm_registry_events *events);
--- a/src/core/item_log.c
+++ b/src/core/item_log.c
@@ -322,16 +322,16 @@
 {
 	const struct cm_item *item = first_after(log, after);
 	uint64_t last = after;
-	uint32_t told = 0;
+	uint32_t given = 0;
 
 	for (; item; item = TAILQ_NEXT(item, link)) {
-		if (told >= most && item->revision > last)
+		if (given >= most && item->revision > last)
 			return last;
 		last = item->revision;
 		if (!after && item->is_gone)
 			continue;
 		handler(user, item);
-		told++;
+		given++;
 	}
 	return log->revision;
 }
--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -130,7 +130,7 @@
 
 	LIST_FOREACH(group, &context->pool->groups, link)
 	{
-		/* Adds it, so that it is told apart when servers fall silent.
+		/* Adds it, so that it is known when servers fall silent.
 		 */
 		const struct cm_steer_domain *domain =
 			cm_steer_domains_get(domains, group->domain_hash);
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -131,7 +131,7 @@
 /**
  * cm_feed_begin() - all items of the registry are about to be told
  * @feed: the feed
- * @may_be_stale: what is told may be some seconds old
+ * @may_be_stale: the items may be some seconds old
  */
 void cm_feed_begin(struct cm_feed *feed, bool may_be_stale);
 
@@ -185,7 +185,7 @@
  * @source: set to the instance, which then counts as asked
  *
  * Return: false when the registry is to be asked: this instance is the first of
- * those that are not passed over, or what it knows is too old to go on asking
+ * those that are not skipped, or what it knows is too old to go on asking
  * others.
  */
 bool cm_feed_source(struct cm_feed *feed, uint64_t now_ms,
@@ -202,10 +202,10 @@
 bool cm_feed_leads(struct cm_feed *feed, uint64_t now_ms);
 
 /**
- * cm_feed_members_due() - members that the registry should be told
+ * cm_feed_members_due() - members that the registry should have
  * @feed: the feed
  * @now_ms: current time
- * @must: the registry has to be told, also when the members are the same
+ * @must: they have to be written, also when they are the same
  * @entries: room for CM_ROSTER_MAX; set
  * @revision: set to the revision of the entry that they replace
  *
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -123,41 +123,60 @@
 	return error;
 }
 
-/* Return: whether the entry of the members has to be made anew. */
-static bool keep_members(struct cm_registry_loop *loop, uint64_t now_ms)
+/* A lease that has ended took the entry with it. */
+static void note_lease(struct cm_registry_loop *loop, int error)
+{
+	if (error == CM_E_NOT_FOUND)
+		loop->lease = 0;
+}
+
+static void keep_lease(struct cm_registry_loop *loop, uint64_t now_ms)
 {
 	int error;
 
-	if (now_ms < loop->keep_ms)
-		return false;
-	error = loop->registry->ops->keep_members(loop->registry);
+	if (!loop->lease || now_ms < loop->keep_ms)
+		return;
+	error = loop->registry->ops->keep_lease(loop->registry, loop->lease);
 	time_call(loop, CM_H_STORE_ENTRY, now_ms);
 	if (!error)
 		loop->keep_ms = now_ms + KEEP_MS;
-	return error == CM_E_NOT_FOUND;
+	note_lease(loop, error);
 }
 
-static void write_members(struct cm_registry_loop *loop, uint64_t now_ms,
-			  bool must)
+static int enter_members(struct cm_registry_loop *loop,
+			 struct cm_members_write *write)
 {
-	static struct cm_peer_entry entries[CM_ROSTER_MAX];
 	const struct cm_registry_sink sink = cm_feed_sink(loop->feed, false);
-	struct cm_domain_members members = { .entries = entries };
-	uint64_t revision;
+	const struct cm_registry_ops *ops = loop->registry->ops;
+	int error = CM_OK;
+
+	if (!loop->lease)
+		error = ops->grant_lease(loop->registry, &loop->lease);
+	write->lease = loop->lease;
+	if (!error)
+		error = ops->write_members(loop->registry, write, &sink);
+	note_lease(loop, error);
+	return error;
+}
+
+static void write_members(struct cm_registry_loop *loop, uint64_t now_ms)
+{
+	static struct cm_peer_entry entries[CM_ROSTER_MAX];
+	struct cm_members_write write = { .members.entries = entries };
 	int error;
 
-	members.count = cm_feed_members_due(loop->feed, now_ms, must, entries,
-					    &revision);
-	if (!members.count)
+	write.members.count = cm_feed_members_due(
+		loop->feed, now_ms, !loop->lease, entries, &write.revision);
+	if (!write.members.count)
 		return;
-	memcpy(members.domain, loop->settings->domain, sizeof(members.domain));
-	error = loop->registry->ops->write_members(loop->registry, &members,
-						   revision, &sink);
+	memcpy(write.members.domain, loop->settings->domain,
+	       sizeof(write.members.domain));
+	error = enter_members(loop, &write);
 	time_call(loop, CM_H_STORE_ENTRY, now_ms);
 	if (!error)
 		loop->keep_ms = now_ms + KEEP_MS;
 	cm_log(CM_EVENT_MEMBERS_WRITTEN, "members=%u replaces=%llu outcome=%s",
-	       members.count, (unsigned long long)revision,
+	       write.members.count, (unsigned long long)write.revision,
 	       cm_error_name(error));
 }
 
@@ -168,7 +187,8 @@
 
 	if (!loop->is_confirmed || !cm_feed_leads(loop->feed, now_ms))
 		return;
-	write_members(loop, now_ms, keep_members(loop, now_ms));
+	keep_lease(loop, now_ms);
+	write_members(loop, now_ms);
 }
 
 /* While nothing is known, instances of any failure domain may help. */
--- a/src/daemon/registry_loop.h
+++ b/src/daemon/registry_loop.h
@@ -22,7 +22,8 @@
  * @registry: the registry
  * @settings: settings of the process
  * @wait_ms: longest wait for changes in one call
- * @keep_ms: when the entry of the members is to be kept next
+ * @lease: lease of the entry of members that this node wrote; 0 for none
+ * @keep_ms: when it is to be kept next
  * @is_reachable: the last call to the registry was answered
  * @is_confirmed: the registry answered the call before
  * @retry_ms: mean pause after the next call that fails
@@ -41,6 +42,7 @@
 	struct cm_registry *registry;
 	const struct cm_steer_settings *settings;
 	uint32_t wait_ms;
+	uint64_t lease;
 	uint64_t keep_ms;
 	bool is_reachable;
 	bool is_confirmed;
--- a/src/ports/registry.h
+++ b/src/ports/registry.h
@@ -27,7 +27,7 @@
  * @members: members of a failure domain
  * @members_gone: a failure domain has no entry of its members
  * @bad_item: the item at @key can't be used
- * @reached: all changes up to a revision were told
+ * @reached: all changes up to a revision were given
  * @user: for the functions
  *
  * @revision is that of the registry at the entry's last change.
@@ -47,23 +47,37 @@
 	void *user;
 };
 
+/**
+ * struct cm_members_write - members of a failure domain to enter
+ * @members: the members
+ * @revision: revision of the entry that they replace; 0 for none
+ * @lease: lease that the entry goes with
+ */
+struct cm_members_write {
+	struct cm_domain_members members;
+	uint64_t revision;
+	uint64_t lease;
+};
+
 /**
  * struct cm_registry_ops - what an adapter does
- * @read: tell all entries, then the revision that they are of; with
- *        @may_be_stale what is told may be some seconds old. Returns 0,
+ * @read: give all entries, then the revision that they are of; with
+ *        @may_be_stale they may be some seconds old. Returns 0,
  *        CM_E_UNAVAILABLE, CM_E_TIMEOUT, CM_E_PROTOCOL, CM_E_TOO_LARGE or
  *        CM_E_MEMORY.
- * @wait: wait up to @wait_ms for changes after revision @after and tell them.
+ * @wait: wait up to @wait_ms for changes after revision @after and give them.
  *        Returns 0, also when there were none, CM_E_COMPACTED when all has to
  *        be read anew, or an error of @read.
- * @read_members: tell the members of all failure domains, which may be some
+ * @read_members: give the members of all failure domains, which may be some
  *                seconds old; not the revision. Returns 0 or an error of @read.
- * @write_members: enter the members of a failure domain in place of those of
- *        @revision, 0 for none. Returns 0, CM_E_STALE when others are entered,
- *        which are told, or an error of @read. The entry goes
- *        CM_REGISTRY_MEMBERS_MS after the last call of @keep_members.
- * @keep_members: keep the entry that @write_members made. Returns 0,
- *        CM_E_NOT_FOUND when there is none to keep, or an error of @read.
+ * @grant_lease: make a lease of CM_REGISTRY_MEMBERS_MS, with which an entry of
+ *               members goes. Returns 0 or an error of @read.
+ * @keep_lease: keep a lease for as long again. Returns 0, CM_E_NOT_FOUND when
+ *              it has ended, or an error of @read.
+ * @write_members: enter the members of a failure domain, with a lease, in place
+ *                 of those of a revision. Returns 0, CM_E_STALE when others are
+ *                 entered, which the sink gets, CM_E_NOT_FOUND when the lease
+ *                 has ended, or an error of @read.
  * @calls: requests sent so far
  * @interrupt: end the call in progress and all later ones; from any thread
  * @finish: end; the memory stays the caller's
@@ -75,11 +89,11 @@
 		    uint32_t wait_ms, const struct cm_registry_sink *sink);
 	int (*read_members)(struct cm_registry *registry,
 			    const struct cm_registry_sink *sink);
+	int (*grant_lease)(struct cm_registry *registry, uint64_t *lease);
+	int (*keep_lease)(struct cm_registry *registry, uint64_t lease);
 	int (*write_members)(struct cm_registry *registry,
-			     const struct cm_domain_members *members,
-			     uint64_t revision,
+			     const struct cm_members_write *write,
 			     const struct cm_registry_sink *sink);
-	int (*keep_members)(struct cm_registry *registry);
 	uint64_t (*calls)(const struct cm_registry *registry);
 	void (*interrupt)(struct cm_registry *registry);
 	void (*finish)(struct cm_registry *registry);
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -116,7 +116,7 @@
 	ck_assert_ptr_nonnull(cm_item_log_put(&log_a, "a", "1", 1, 11));
 }
 
-/* A snapshot comes in any order; what is told of it is in that of revisions. */
+/* A snapshot comes in any order; it is given in that of revisions. */
 TEST(snapshot_is_told_by_revision)
 {
 	cm_item_log_begin(&log_a);
--- a/tests/unit/test_feed_exchange.c
+++ b/tests/unit/test_feed_exchange.c
@@ -167,7 +167,7 @@
 		cm_steer_servers_by_id(&follower.steer.servers, SERVERS));
 }
 
-/* A server that went while nobody told this instance of it goes at the end. */
+/* A server whose removal this instance has missed goes at the end. */
 TEST(snapshot_takes_away_what_it_lacks)
 {
 	tell_all(&follower, 3);
@@ -472,7 +472,7 @@
 	ck_assert(cm_feed_leads(&source.feed, NOW_MS));
 }
 
-/* Without the entry the first one that is not passed over makes it anew. */
+/* Without the entry the first one that is not skipped makes it anew. */
 TEST(members_stay_known_without_their_entry)
 {
 	const struct cm_registry_sink sink = cm_feed_sink(&source.feed, false);
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -199,7 +199,7 @@
 	ck_assert_int_eq(swap("i/a", told.revisions[0], lease), CM_E_NOT_FOUND);
 }
 
-/* Whoever comes second is told what the first one wrote. */
+/* Whoever comes second gets what the first one wrote. */
 TEST(key_that_somebody_else_wrote_is_told)
 {
 	uint64_t lease;
--- a/tests/unit/test_registry_item.c
+++ b/tests/unit/test_registry_item.c
@@ -9,12 +9,12 @@
 #include "chervilmast/error.h"
 
 /* What the items meant, as in "server 7f draining=1; ". */
-static char told[512];
+static char decoded[512];
 static struct cm_item_log copy;
 
 static void setup(void)
 {
-	told[0] = '\0';
+	decoded[0] = '\0';
 	cm_item_log_init(&copy);
 }
 
@@ -25,59 +25,60 @@
 
 UNIT_CASE("feed", "registry items", setup, teardown, UNIT_TIMEOUT_S);
 
-#define TELL(...) \
-	snprintf(told + strlen(told), sizeof(told) - strlen(told), __VA_ARGS__)
+#define RECORD(...)                                                            \
+	snprintf(decoded + strlen(decoded), sizeof(decoded) - strlen(decoded), \
+		 __VA_ARGS__)
 
-static void told_server(void *user, const struct cm_server_entry *entry)
+static void on_server(void *user, const struct cm_server_entry *entry)
 {
 	(void)user;
-	TELL("server %llx %s %s %x:%u slots=%u cold=%u draining=%d born=%llu; ",
-	     (unsigned long long)entry->id, entry->service, entry->domain,
-	     entry->address.address, entry->address.port, entry->slots,
-	     entry->cold_left_ms, entry->is_draining,
-	     (unsigned long long)entry->born_ms);
+	RECORD("server %llx %s %s %x:%u slots=%u cold=%u draining=%d born=%llu; ",
+	       (unsigned long long)entry->id, entry->service, entry->domain,
+	       entry->address.address, entry->address.port, entry->slots,
+	       entry->cold_left_ms, entry->is_draining,
+	       (unsigned long long)entry->born_ms);
 }
 
-static void told_server_gone(void *user, uint64_t id)
+static void on_server_gone(void *user, uint64_t id)
 {
 	(void)user;
-	TELL("gone %llx; ", (unsigned long long)id);
+	RECORD("gone %llx; ", (unsigned long long)id);
 }
 
-static void told_plan(void *user, uint64_t version, uint64_t digest)
+static void on_plan(void *user, uint64_t version, uint64_t digest)
 {
 	(void)user;
 	(void)digest;
-	TELL("plan %llu; ", (unsigned long long)version);
+	RECORD("plan %llu; ", (unsigned long long)version);
 }
 
-static void told_domain_out(void *user, const char *domain, bool is_out)
+static void on_domain_out(void *user, const char *domain, bool is_out)
 {
 	(void)user;
-	TELL("domain %s out=%d; ", domain, is_out);
+	RECORD("domain %s out=%d; ", domain, is_out);
 }
 
-static void told_peer(void *user, const struct cm_peer_entry *entry)
+static void on_peer(void *user, const struct cm_peer_entry *entry)
 {
 	(void)user;
-	TELL("peer %s %s %x:%u rank=%llu; ", entry->name, entry->domain,
-	     entry->control.address, entry->control.port,
-	     (unsigned long long)entry->rank);
+	RECORD("peer %s %s %x:%u rank=%llu; ", entry->name, entry->domain,
+	       entry->control.address, entry->control.port,
+	       (unsigned long long)entry->rank);
 }
 
-static void told_peer_gone(void *user, const char *name)
+static void on_peer_gone(void *user, const char *name)
 {
 	(void)user;
-	TELL("peer gone %s; ", name);
+	RECORD("peer gone %s; ", name);
 }
 
 static const struct cm_registry_events events = {
-	.server = told_server,
-	.server_gone = told_server_gone,
-	.plan = told_plan,
-	.domain_out = told_domain_out,
-	.peer = told_peer,
-	.peer_gone = told_peer_gone,
+	.server = on_server,
+	.server_gone = on_server_gone,
+	.plan = on_plan,
+	.domain_out = on_domain_out,
+	.peer = on_peer,
+	.peer_gone = on_peer_gone,
 };
 
 static int decode(const char *key, const char *value, size_t size, bool is_gone)
@@ -124,7 +125,7 @@
 	decode_made(&item);
 	cm_registry_item_domain_out(&item, "b");
 	decode_made(&item);
-	ck_assert_str_eq(told,
+	ck_assert_str_eq(decoded,
 			 "server 7f3a91c2 ledger a a800009:8080 slots=3 cold=5 "
 			 "draining=1 born=1700000000000; gone 7f3a91c2; "
 			 "peer a-1 a a010001:8166 rank=18446744073709551615; "
@@ -157,7 +158,7 @@
 	ck_assert_int_eq(
 		decode("s/7f", values[_i].bytes, values[_i].size, false),
 		values[_i].error);
-	ck_assert_int_eq(told[0] == '\0', values[_i].error != 0);
+	ck_assert_int_eq(decoded[0] == '\0', values[_i].error != 0);
 }
 
 static const struct {
@@ -175,7 +176,7 @@
 {
 	ck_assert_int_eq(decode(keys[_i].key, "\x80", 1, false),
 			 keys[_i].error);
-	ck_assert_str_eq(told, "");
+	ck_assert_str_eq(decoded, "");
 }
 
 static uint32_t changed;
