--- a/tests/standin/platform_store.c
+++ b/tests/standin/platform_store.c
@@ -21,7 +21,6 @@
 #define PART_PAUSE_MS 300
 #define BYTE_PAUSE_MS 20
 #define PART_BUFFER 4096
-#define FIRST_LEASE 7000
 
 /**
  * struct reply - an HTTP answer
@@ -116,15 +115,6 @@
 	return reply;
 }
 
-static struct platform_lease *find_lease(struct platform_standin *standin,
-					 int64_t id)
-{
-	for (int i = 0; i < PLATFORM_LEASES; i++)
-		if (id && standin->leases[i].id == id)
-			return &standin->leases[i];
-	return NULL;
-}
-
 static int64_t revision_of(struct platform_standin *standin, const char *key)
 {
 	const struct fake_kv_item *item = fake_kv_find(&standin->kv, key);
@@ -165,7 +155,7 @@
 	int64_t lease = json_integer_value(json_object_get(write, "lease"));
 	struct reply reply = { .status = MHD_HTTP_NOT_FOUND };
 
-	if (!key || !value || !find_lease(standin, lease))
+	if (!key || !value || !platform_lease_holds(&standin->leases, lease))
 		return reply;
 	if (json_integer_value(json_object_get(expected, "revision")) !=
 	    revision_of(standin, key)) {
@@ -183,45 +173,27 @@
 
 static struct reply keep(struct platform_standin *standin, const char *id)
 {
-	struct platform_lease *lease = find_lease(standin, atoll(id));
 	struct reply reply = { .status = MHD_HTTP_NOT_FOUND };
+	int ttl_ms = platform_lease_keep(&standin->leases, atoll(id));
 
-	if (!lease)
+	if (!ttl_ms)
 		return reply;
-	lease->end_ms = cm_clock_ms() + lease->ttl_ms;
 	reply.status = MHD_HTTP_OK;
-	reply.body = json_pack("{s:i}", "ttl-ms", lease->ttl_ms);
+	reply.body = json_pack("{s:i}", "ttl-ms", ttl_ms);
 	return reply;
 }
 
-/* The lease that was granted longest ago makes room. */
 static struct reply grant(struct platform_standin *standin, const json_t *body)
 {
-	struct platform_lease *lease =
-		&standin->leases[standin->granted % PLATFORM_LEASES];
+	int ttl_ms = (int)json_integer_value(json_object_get(body, "ttl-ms"));
+	int64_t id = platform_lease_grant(&standin->leases, ttl_ms);
 	struct reply reply = { .status = MHD_HTTP_OK };
 
-	lease->id = FIRST_LEASE + standin->granted++;
-	lease->ttl_ms =
-		(int)json_integer_value(json_object_get(body, "ttl-ms"));
-	lease->end_ms = cm_clock_ms() + lease->ttl_ms;
-	reply.body = json_pack("{s:I, s:i}", "lease", (json_int_t)lease->id,
-			       "ttl-ms", lease->ttl_ms);
+	reply.body = json_pack("{s:I, s:i}", "lease", (json_int_t)id, "ttl-ms",
+			       ttl_ms);
 	return reply;
 }
 
-static void end_leases(struct platform_standin *standin, uint64_t now_ms)
-{
-	for (int i = 0; i < PLATFORM_LEASES; i++) {
-		struct platform_lease *lease = &standin->leases[i];
-
-		if (!lease->id || now_ms < lease->end_ms)
-			continue;
-		fake_kv_erase_lease(&standin->kv, lease->id);
-		lease->id = 0;
-	}
-}
-
 #define KEEP_PATH "/-/kv-keep/"
 
 static struct reply route(struct platform_standin *standin,
@@ -353,7 +325,7 @@
 	msgpack_sbuffer bytes;
 
 	pthread_mutex_lock(&standin->lock);
-	end_leases(standin, cm_clock_ms());
+	platform_lease_end(&standin->leases, &standin->kv, cm_clock_ms());
 	fault = standin->fault;
 	if (platform_fault_is_carried_out(fault))
 		reply = route(standin, connection, url, body);
@@ -485,6 +457,6 @@
 void platform_standin_end_leases(struct platform_standin *standin)
 {
 	pthread_mutex_lock(&standin->lock);
-	end_leases(standin, UINT64_MAX);
+	platform_lease_end(&standin->leases, &standin->kv, UINT64_MAX);
 	pthread_mutex_unlock(&standin->lock);
 }
--- a/tests/standin/platform_store.h
+++ b/tests/standin/platform_store.h
@@ -11,21 +11,7 @@
 
 #include "fake/kv.h"
 #include "standin/platform_fault.h"
-
-/** Most leases at once. */
-#define PLATFORM_LEASES 64
-
-/**
- * struct platform_lease - a lease
- * @id: names it; 0 once it ended
- * @ttl_ms: how long it lasts when it is not kept
- * @end_ms: when it ends
- */
-struct platform_lease {
-	int64_t id;
-	int ttl_ms;
-	uint64_t end_ms;
-};
+#include "standin/platform_lease.h"
 
 /**
  * struct platform_standin - the served store
@@ -35,7 +21,6 @@
  * @page_size: most items of an answer
  * @fault: what it does to calls
  * @leases: the leases
- * @granted: leases granted so far
  * @stale_reads: reads that allowed stale answers
  * @stopping: ends waiting calls
  */
@@ -45,8 +30,7 @@
 	struct fake_kv kv;
 	size_t page_size;
 	enum platform_fault fault;
-	struct platform_lease leases[PLATFORM_LEASES];
-	int64_t granted;
+	struct platform_leases leases;
 	int stale_reads;
 	bool stopping;
 };
--- /dev/null
+++ b/tests/unit/test_feed_plan.c
@@ -0,0 +1,141 @@
+#include "unit/suites.h"
+
+#include <string.h>
+
+#include "chervilmast/error.h"
+#include "unit/feed_sides.h"
+
+UNIT_CASE("feed", "plans", sides_setup, sides_teardown, UNIT_TIMEOUT_S);
+
+/* A storm of plans of 2,400 routes: a follower handles what differs. */
+TEST(follower_handles_the_routes_that_differ)
+{
+	uint64_t before;
+
+	tell_all(&source, 3);
+	tell_plan(&source, 7, 2400, 4);
+	ask_all(&source, SOURCE_INCARNATION);
+	ck_assert_uint_eq(follower.steer.plan.route_count, 2400);
+	before = cm_counters_get(&follower.steer.counters, CM_C_REGISTRY_ITEMS);
+	for (uint32_t i = 1; i <= 10; i++) {
+		tell_plan(&source, 7 + i, 2400 + i, 4 + i);
+		ask_all(&source, SOURCE_INCARNATION);
+		ck_assert_uint_eq(follower.steer.plan.version, 7 + i);
+		ck_assert_uint_eq(follower.steer.plan.route_count, 2400 + i);
+	}
+	ck_assert_uint_le(
+		cm_counters_get(&follower.steer.counters, CM_C_REGISTRY_ITEMS) -
+			before,
+		10 * 2);
+}
+
+/* A storm of plans that differ in nothing that concerns flows builds none. */
+TEST(plan_of_the_same_routes_is_not_built_again)
+{
+	const struct cm_plan_route *routes;
+
+	tell_all(&source, 3);
+	tell_plan(&source, 7, 2400, 4);
+	ask_all(&source, SOURCE_INCARNATION);
+	routes = follower.steer.plan.routes;
+	for (uint32_t i = 1; i <= 10; i++) {
+		tell_plan(&source, 7 + i, 2400, 4 + i);
+		ask_all(&source, SOURCE_INCARNATION);
+		ck_assert_uint_eq(follower.steer.plan.version, 7 + i);
+	}
+	ck_assert_ptr_eq(follower.steer.plan.routes, routes);
+	tell_plan(&source, 18, 2401, 15);
+	ask_all(&source, SOURCE_INCARNATION);
+	ck_assert_uint_eq(follower.steer.plan.route_count, 2401);
+}
+
+/*
+ * A read that may be stale gives no revision to go on from: it may name one
+ * that its content has not reached.
+ */
+TEST(stale_copy_is_followed_by_a_whole_one)
+{
+	const struct cm_registry_sink sink = cm_feed_sink(&follower.feed, true);
+	const struct cm_server_entry entry = server(1);
+	struct cm_message message;
+
+	tell_all(&source, 3);
+	tell_plan(&source, 8, 5, 4);
+	cm_feed_begin(&follower.feed, true);
+	sink.server(sink.user, &entry, 1);
+	sink.reached(sink.user, 6);
+	tell_plan(&follower, 8, 5, 4);
+	/* What the stale copy lacks is older than the revision that it named.
+	 */
+	tell_plan(&source, 10, 9, 5);
+	tell_plan(&source, 12, 9, 7);
+	ck_assert(cm_feed_is_stale(&follower.feed));
+	message = answer(&follower, &source);
+	ck_assert_uint_eq(message.items.revision, 0);
+	cm_message_finish(&message);
+	ask_all(&source, SOURCE_INCARNATION);
+	ck_assert(!cm_feed_is_stale(&follower.feed));
+	ck_assert_uint_eq(follower.steer.plan.version, 12);
+	ck_assert_uint_eq(follower.steer.plan.route_count, 9);
+	ck_assert_uint_eq(follower.steer.servers.count, 3);
+	ck_assert_uint_eq(cm_feed_revision(&follower.feed), 7);
+}
+
+/* The source never saw the plan that the follower has, and that is taken back.
+ */
+TEST(plan_that_the_source_missed_is_taken_back)
+{
+	tell_all(&source, 3);
+	tell_all(&follower, 3);
+	tell_plan(&source, 5, 5, 4);
+	tell_plan(&follower, 5, 5, 4);
+	tell_plan(&follower, 8, 9, 5);
+	tell_plan(&source, 12, 5, 7);
+	ask_all(&source, SOURCE_INCARNATION);
+	ck_assert_uint_eq(follower.steer.plan.version, 12);
+	ck_assert_uint_eq(follower.steer.plan.route_count, 5);
+	ck_assert(!cm_feed_is_stale(&follower.feed));
+}
+
+/* However it came to lack one: a follower with a part of another plan asks for
+ * all before it puts the version in force. */
+TEST(plan_that_lacks_a_change_is_asked_for_whole)
+{
+	struct cm_message message;
+
+	tell_all(&source, 3);
+	tell_plan(&source, 5, 5, 4);
+	ask_all(&source, SOURCE_INCARNATION);
+	tell_plan(&source, 8, 9, 5);
+	message = answer(&source, &follower);
+	for (uint32_t i = 0; i < message.items.count; i++)
+		if (!strncmp(message.items.items[i].key, "p/routes/", 9))
+			message.items.items[i].revision = 1;
+	ASSERT_OK(take(&follower, SOURCE_INCARNATION, &message));
+	ck_assert_uint_eq(follower.steer.plan.version, 5);
+	ck_assert(cm_feed_is_stale(&follower.feed));
+	ask_all(&source, SOURCE_INCARNATION);
+	ck_assert_uint_eq(follower.steer.plan.version, 8);
+	ck_assert_uint_eq(follower.steer.plan.route_count, 9);
+	ck_assert(!cm_feed_is_stale(&follower.feed));
+}
+
+TEST(earlier_plan_is_refused)
+{
+	tell_all(&source, 3);
+	tell_plan(&source, 7, 5, 4);
+	tell_plan(&source, 6, 9, 5);
+	ck_assert_uint_eq(source.steer.plan.version, 7);
+	ck_assert_uint_eq(source.steer.plan.route_count, 5);
+}
+
+/* A snapshot of the registry that lacks the plan leaves the last one. */
+TEST(snapshot_without_a_plan_takes_none_away)
+{
+	tell_all(&source, 3);
+	tell_plan(&source, 7, 5, 4);
+	tell_all(&source, 6);
+	tell_plan(&source, 8, 6, 7);
+	ck_assert_uint_eq(source.steer.plan.version, 8);
+	ck_assert_uint_eq(source.steer.plan.route_count, 6);
+}
