--- a/src/adapters/item_value.c
+++ b/src/adapters/item_value.c
@@ -1,7 +1,5 @@
 #include "item_value.h"
 
-#include <string.h>
-
 #include "chervilmast/error.h"
 
 struct cm_reader cm_item_value_open(struct cm_item_value *value,
@@ -26,8 +24,3 @@
 	msgpack_unpacked_destroy(&value->unpacked);
 	return value->error;
 }
-
-void cm_item_value_text(msgpack_packer *packer, const char *text)
-{
-	msgpack_pack_str_with_body(packer, text, strlen(text));
-}
--- a/src/adapters/item_value.h
+++ b/src/adapters/item_value.h
@@ -25,7 +25,4 @@
 /** cm_item_value_close() - end; returns the first error */
 int cm_item_value_close(struct cm_item_value *value);
 
-/** cm_item_value_text() - write a text */
-void cm_item_value_text(msgpack_packer *packer, const char *text);
-
 #endif
--- a/src/adapters/message_msgpack.c
+++ b/src/adapters/message_msgpack.c
@@ -6,6 +6,7 @@
 
 #include "chervilmast/error.h"
 #include "message_internal.h"
+#include "msgpack_map.h"
 
 #define ENVELOPE_FIELDS 6
 #define ADDRESS_SHIFT 24
@@ -34,11 +35,6 @@
 		put_endpoint(packer, control);
 }
 
-static void put_text(msgpack_packer *packer, const char *text)
-{
-	msgpack_pack_str_with_body(packer, text, strlen(text));
-}
-
 static void put_members(msgpack_packer *packer,
 			const struct cm_message_members *members)
 {
@@ -47,8 +43,8 @@
 		const struct cm_member *member = &members->items[i];
 
 		msgpack_pack_array(packer, CM_MEMBER_FIELDS);
-		put_text(packer, member->name);
-		put_text(packer, member->domain);
+		cm_map_put_text(packer, member->name);
+		cm_map_put_text(packer, member->domain);
 		put_endpoint(packer, &member->data);
 		put_control(packer, &member->control, &member->data);
 		msgpack_pack_uint64(packer, member->incarnation);
@@ -141,7 +137,7 @@
 	const struct cm_message_status *body = &message->status;
 
 	msgpack_pack_array(packer, CM_STATUS_FIELDS);
-	put_text(packer, body->name);
+	cm_map_put_text(packer, body->name);
 	msgpack_pack_uint64(packer, body->version);
 	msgpack_pack_uint64(packer, body->uptime_s);
 	put_members(packer, &body->members);
@@ -150,7 +146,7 @@
 		const struct cm_message_server *server = &body->servers[i];
 
 		msgpack_pack_array(packer, CM_SERVER_FIELDS);
-		put_text(packer, server->name);
+		cm_map_put_text(packer, server->name);
 		put_endpoint(packer, &server->address);
 		msgpack_pack_uint64(packer, server->state);
 		msgpack_pack_uint64(packer, server->is_home);
@@ -170,7 +166,7 @@
 			      const struct cm_message *message)
 {
 	msgpack_pack_array(packer, CM_ITEMS_REQUEST_FIELDS);
-	put_text(packer, message->items_request.name);
+	cm_map_put_text(packer, message->items_request.name);
 	msgpack_pack_uint64(packer, message->items_request.after);
 	msgpack_pack_uint64(packer, message->items_request.snapshot_of);
 	put_tokens(packer, &message->items_request.suspects);
@@ -233,7 +229,7 @@
 	msgpack_pack_uint64(&packer, message->kind);
 	put_endpoint(&packer, &message->sender);
 	put_control(&packer, &message->control, &message->sender);
-	put_text(&packer, message->domain);
+	cm_map_put_text(&packer, message->domain);
 	msgpack_pack_uint64(&packer, message->incarnation);
 	put_body[message->kind](&packer, message);
 	*size = buffer.size;
--- a/platform/body.c
+++ b/src/adapters/msgpack_map.c
@@ -1,12 +1,11 @@
-#include "body.h"
+#include "msgpack_map.h"
 
 #include <string.h>
 
 #include "chervilmast/error.h"
 #include "chervilmast/note.h"
 
-int platform_body_read(msgpack_unpacked *unpacked, const char *bytes,
-		       size_t size)
+int cm_map_open(msgpack_unpacked *unpacked, const char *bytes, size_t size)
 {
 	size_t used = 0;
 
@@ -23,8 +22,8 @@
 	       !memcmp(key->via.str.ptr, text, length);
 }
 
-const msgpack_object *platform_field(const msgpack_object *object,
-				     const char *key)
+const msgpack_object *cm_map_field(const msgpack_object *object,
+				   const char *key)
 {
 	size_t length = strlen(key);
 
@@ -36,19 +35,19 @@
 	return NULL;
 }
 
-const msgpack_object_array *platform_array(const msgpack_object *object,
-					   const char *key)
+const msgpack_object_array *cm_map_array(const msgpack_object *object,
+					 const char *key)
 {
-	const msgpack_object *value = platform_field(object, key);
+	const msgpack_object *value = cm_map_field(object, key);
 
 	if (!value || value->type != MSGPACK_OBJECT_ARRAY)
 		return NULL;
 	return &value->via.array;
 }
 
-int platform_text(char *text, const msgpack_object *object, const char *key)
+int cm_map_text(char *text, const msgpack_object *object, const char *key)
 {
-	const msgpack_object *value = platform_field(object, key);
+	const msgpack_object *value = cm_map_field(object, key);
 	size_t size;
 
 	if (!value)
@@ -65,10 +64,10 @@
 	return CM_OK;
 }
 
-int platform_number(uint64_t *number, const msgpack_object *object,
-		    const char *key)
+int cm_map_number(uint64_t *number, const msgpack_object *object,
+		  const char *key)
 {
-	const msgpack_object *value = platform_field(object, key);
+	const msgpack_object *value = cm_map_field(object, key);
 
 	if (!value)
 		return CM_E_MISSING_KEY;
@@ -80,9 +79,9 @@
 	return CM_OK;
 }
 
-double platform_real(const msgpack_object *object, const char *key)
+double cm_map_real(const msgpack_object *object, const char *key)
 {
-	const msgpack_object *value = platform_field(object, key);
+	const msgpack_object *value = cm_map_field(object, key);
 
 	if (!value)
 		return 0;
@@ -99,15 +98,15 @@
 	}
 }
 
-bool platform_is_true(const msgpack_object *object, const char *key)
+bool cm_map_is_true(const msgpack_object *object, const char *key)
 {
-	const msgpack_object *value = platform_field(object, key);
+	const msgpack_object *value = cm_map_field(object, key);
 
 	return value && value->type == MSGPACK_OBJECT_BOOLEAN &&
 	       value->via.boolean;
 }
 
-void platform_put_text(msgpack_packer *packer, const char *text)
+void cm_map_put_text(msgpack_packer *packer, const char *text)
 {
 	msgpack_pack_str_with_body(packer, text, strlen(text));
 }
--- a/src/adapters/plan_items.c
+++ b/src/adapters/plan_items.c
@@ -8,6 +8,7 @@
 
 #include "chervilmast/error.h"
 #include "item_value.h"
+#include "msgpack_map.h"
 
 #define VERSION_KEY "p/version"
 #define SERVICES_KEY "p/services"
@@ -55,7 +56,7 @@
 	msgpack_pack_uint32(&packer, route->address.address);
 	msgpack_pack_uint16(&packer, route->address.port);
 	for (uint32_t i = 0; i < route->target_count; i++) {
-		cm_item_value_text(&packer, plan->names[targets[i].name].text);
+		cm_map_put_text(&packer, plan->names[targets[i].name].text);
 		msgpack_pack_uint32(&packer, targets[i].weight);
 	}
 }
@@ -108,7 +109,7 @@
 	msgpack_pack_array(&packer, plan->service_count);
 	for (size_t i = 0; i < plan->service_count; i++) {
 		msgpack_pack_array(&packer, SERVICE_FIELDS);
-		cm_item_value_text(&packer, plan->services[i].name);
+		cm_map_put_text(&packer, plan->services[i].name);
 		msgpack_pack_uint32(&packer, plan->services[i].cold_per_s);
 	}
 	handler(user, SERVICES_KEY, buffer.data, buffer.size);
--- a/src/adapters/registry_item.c
+++ b/src/adapters/registry_item.c
@@ -7,6 +7,7 @@
 
 #include "chervilmast/error.h"
 #include "item_value.h"
+#include "msgpack_map.h"
 #include "plan_items.h"
 
 /* First letter of a key, as in "s/7f3a91c2". */
@@ -54,8 +55,8 @@
 	if (!entry)
 		return;
 	msgpack_pack_uint64(&packer, entry->born_ms);
-	cm_item_value_text(&packer, entry->service);
-	cm_item_value_text(&packer, entry->domain);
+	cm_map_put_text(&packer, entry->service);
+	cm_map_put_text(&packer, entry->domain);
 	msgpack_pack_uint32(&packer, entry->address.address);
 	msgpack_pack_uint16(&packer, entry->address.port);
 	msgpack_pack_uint32(&packer, entry->slots);
@@ -77,7 +78,7 @@
 	msgpack_packer packer = begin(item, PEER_FIELDS);
 
 	snprintf(item->key, sizeof(item->key), "%c/%s", KIND_PEER, entry->name);
-	cm_item_value_text(&packer, entry->domain);
+	cm_map_put_text(&packer, entry->domain);
 	msgpack_pack_uint32(&packer, entry->control.address);
 	msgpack_pack_uint16(&packer, entry->control.port);
 	msgpack_pack_uint64(&packer, entry->rank);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -3,9 +3,9 @@
 #include <netinet/in.h>
 #include <string.h>
 
+#include "adapters/msgpack_map.h"
 #include "chervilmast/error.h"
 #include "fake/body.h"
-#include "platform/body.h"
 #include "platform/desired_state.h"
 #include "platform/packet_head.h"
 #include "platform/server_entry.h"
@@ -122,8 +122,8 @@
 {
 	msgpack_sbuffer_init(&value->bytes);
 	fake_body_write_text(&value->bytes, json);
-	ASSERT_OK(platform_body_read(&value->unpacked, value->bytes.data,
-				     value->bytes.size));
+	ASSERT_OK(cm_map_open(&value->unpacked, value->bytes.data,
+			      value->bytes.size));
 	return &value->unpacked.data;
 }
 
@@ -153,9 +153,9 @@
 {
 	msgpack_unpacked unpacked;
 
-	ck_assert_int_eq(platform_body_read(&unpacked, bodies[_i].bytes,
-					    bodies[_i].size),
-			 bodies[_i].error);
+	ck_assert_int_eq(
+		cm_map_open(&unpacked, bodies[_i].bytes, bodies[_i].size),
+		bodies[_i].error);
 	msgpack_unpacked_destroy(&unpacked);
 }
 
@@ -166,9 +166,8 @@
 	msgpack_unpacked unpacked;
 	char text[CM_NAME_SIZE];
 
-	ASSERT_OK(platform_body_read(&unpacked, bytes, sizeof(bytes) - 1));
-	ck_assert_int_eq(platform_text(text, &unpacked.data, "x"),
-			 CM_E_BAD_NAME);
+	ASSERT_OK(cm_map_open(&unpacked, bytes, sizeof(bytes) - 1));
+	ck_assert_int_eq(cm_map_text(text, &unpacked.data, "x"), CM_E_BAD_NAME);
 	msgpack_unpacked_destroy(&unpacked);
 }
 
