Decode kind, priority and timeout of routes; specify the parts for hard load

Cause: decisions under overload and about lost servers need to know whether a route's requests are repeatable, their rank and their deadline. The plan kept none of these.

Ruled out: more fields in the items of the routes, as an instance of the previous version refuses routes with further fields. The traits are one item of their own that such an instance reports and ignores. The group with the most routes lists none, so that the item stays small.

Change: struct cm_route_traits in the plan, decoded from the desired state, passed on between instances; defaults where a field is missing or invalid.

Figures: no decision uses the traits yet.

--- a/include/chervilmast/steer_plan.h
+++ b/include/chervilmast/steer_plan.h
@@ -29,17 +29,48 @@
 	uint32_t weight;
 };
 
+/**
+ * enum cm_route_kind - kind of the requests of a route
+ * @CM_ROUTE_OTHER: not known, so that a request must not run twice
+ * @CM_ROUTE_IDEMPOTENT: idempotent requests
+ * @CM_ROUTE_NON_IDEMPOTENT: requests that must not run twice
+ * @CM_ROUTE_DOWNLOAD: idempotent requests with large responses
+ * @CM_ROUTE_UPLOAD: large requests that must not run twice
+ */
+enum cm_route_kind {
+	CM_ROUTE_OTHER,
+	CM_ROUTE_IDEMPOTENT,
+	CM_ROUTE_NON_IDEMPOTENT,
+	CM_ROUTE_DOWNLOAD,
+	CM_ROUTE_UPLOAD,
+};
+
+/**
+ * struct cm_route_traits - properties of the requests of a route
+ * @kind: kind of the requests
+ * @priority: rank under overload; 0 is the highest
+ * @timeout_ms: time after which a caller gives up a request, ms; 0 when not
+ *              known
+ */
+struct cm_route_traits {
+	enum cm_route_kind kind;
+	uint32_t priority;
+	uint32_t timeout_ms;
+};
+
 /**
  * struct cm_steer_route - a route to be added to a plan; a plan stores it as
  * struct cm_plan_route and struct cm_plan_target
  * @address: public address that callers send to
  * @objective_ms: latency objective of requests, ms; 0 when none is set
+ * @traits: properties of its requests
  * @target_count: number of @targets
  * @targets: the services to which the route sends flows
  */
 struct cm_steer_route {
 	struct cm_endpoint address;
 	uint32_t objective_ms;
+	struct cm_route_traits traits;
 	uint32_t target_count;
 	struct cm_route_target targets[CM_ROUTE_TARGETS_MAX];
 };
@@ -48,12 +79,14 @@
  * struct cm_plan_route - a route as a plan stores it
  * @address: public address that callers send to
  * @objective_ms: latency objective of requests, ms; 0 when none is set
+ * @traits: properties of its requests
  * @target_count: number of its targets
  * @first_target: index of its first target in @targets of the plan
  */
 struct cm_plan_route {
 	struct cm_endpoint address;
 	uint32_t objective_ms;
+	struct cm_route_traits traits;
 	uint32_t target_count;
 	uint32_t first_target;
 };
@@ -160,6 +193,14 @@
  */
 int cm_steer_plan_seal(struct cm_steer_plan *plan);
 
+/**
+ * cm_route_is_repeatable() - whether a request may run more than once
+ * @traits: properties of the route's requests
+ *
+ * Return: true when callers may repeat a request that may have run.
+ */
+bool cm_route_is_repeatable(const struct cm_route_traits *traits);
+
 /**
  * cm_steer_plan_find_route() - find a route by its address
  * @plan: a sealed plan
--- a/src/adapters/plan_items.c
+++ b/src/adapters/plan_items.c
@@ -9,6 +9,7 @@
 #include "chervilmast/error.h"
 #include "item_value.h"
 #include "msgpack_map.h"
+#include "route_traits.h"
 
 #define VERSION_KEY "p/version"
 #define SERVICES_KEY "p/services"
@@ -131,6 +132,7 @@
 	msgpack_packer packer;
 
 	digest = write_services(plan, digest, handler, user);
+	cm_route_traits_write(plan, handler, user);
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer, VERSION_FIELDS);
@@ -292,6 +294,8 @@
 		error = item_error;
 	if (!error)
 		error = cm_steer_plan_seal(plan);
+	if (!error)
+		error = cm_route_traits_read(plan, log);
 	if (error)
 		cm_steer_plan_finish(plan);
 	return error;
@@ -306,6 +310,7 @@
 		cm_item_log_keep(log, key);
 	}
 	cm_item_log_keep(log, SERVICES_KEY);
+	cm_item_log_keep(log, CM_ROUTE_TRAITS_KEY);
 	cm_item_log_keep(log, VERSION_KEY);
 }
 
@@ -364,5 +369,5 @@
 bool cm_plan_items_is_content(const char *key)
 {
 	return !strncmp(key, ROUTES_KEY, strlen(ROUTES_KEY)) ||
-	       !strcmp(key, SERVICES_KEY);
+	       !strcmp(key, SERVICES_KEY) || !strcmp(key, CM_ROUTE_TRAITS_KEY);
 }
--- a/src/adapters/plan_items.h
+++ b/src/adapters/plan_items.h
@@ -3,8 +3,10 @@
  *
  * The routes are distributed over a fixed number of items by a hash of their
  * address, so that a plan with few changes changes few items. The services are
- * one more item. The item with the version is written last and contains a
- * digest of the other items, from which a reader detects an incomplete plan.
+ * one more item, and the traits of the routes another one, which instances
+ * without support for it ignore. The item with the version is written last and
+ * contains a digest of the routes and services, from which a reader detects an
+ * incomplete plan.
  */
 #ifndef ADAPTERS_PLAN_ITEMS_H
 #define ADAPTERS_PLAN_ITEMS_H
@@ -82,7 +84,7 @@
 const struct cm_item *cm_plan_items_find_version(const struct cm_item_log *log);
 
 /**
- * cm_plan_items_is_content() - whether an item has routes or services
+ * cm_plan_items_is_content() - whether an item has routes, services or traits
  * @key: key of the item
  *
  * Return: false for the item with the version and for items that belong to no
--- a/src/core/steer_plan.c
+++ b/src/core/steer_plan.c
@@ -97,6 +97,7 @@
 	const struct cm_plan_route added = {
 		.address = route->address,
 		.objective_ms = route->objective_ms,
+		.traits = route->traits,
 		.target_count = route->target_count,
 		.first_target = (uint32_t)plan->target_count,
 	};
@@ -157,6 +158,12 @@
 	return CM_OK;
 }
 
+bool cm_route_is_repeatable(const struct cm_route_traits *traits)
+{
+	return traits->kind == CM_ROUTE_IDEMPOTENT ||
+	       traits->kind == CM_ROUTE_DOWNLOAD;
+}
+
 const struct cm_plan_route *
 cm_steer_plan_find_route(const struct cm_steer_plan *plan,
 			 const struct cm_endpoint *address)
--- a/tests/unit/feed_instances.c
+++ b/tests/unit/feed_instances.c
@@ -123,12 +123,16 @@
 {
 	const struct cm_registry_sink sink =
 		cm_feed_sink(&instance->feed, false);
+	const struct cm_route_traits urgent = { CM_ROUTE_NON_IDEMPOTENT, 1,
+						2500 };
+	const struct cm_route_traits usual = { CM_ROUTE_IDEMPOTENT, 2, 2000 };
 	struct cm_steer_plan plan;
 
 	ASSERT_OK(cm_steer_plan_init(&plan, version, routes, 0));
 	for (uint32_t i = 0; i < routes; i++) {
 		const struct cm_steer_route route = {
 			.address = { 0xc6120000 + i, 443, IPPROTO_TCP },
+			.traits = i ? usual : urgent,
 			.target_count = 1,
 			.targets = { { "ledger", 1 } },
 		};
--- a/tests/unit/test_feed_plan.c
+++ b/tests/unit/test_feed_plan.c
@@ -31,6 +31,25 @@
 		10 * 2);
 }
 
+/* The follower must not take a route whose requests may run once for one whose
+ * requests are repeatable. */
+TEST(follower_gets_the_traits_of_routes)
+{
+	const struct cm_plan_route *routes;
+
+	put_plan(&source, 7, 300, 4);
+	fetch_all(&source, SOURCE_INCARNATION);
+	routes = follower.steer.plan.routes;
+	ck_assert_int_eq(routes[0].traits.kind, CM_ROUTE_NON_IDEMPOTENT);
+	ck_assert_uint_eq(routes[0].traits.priority, 1);
+	ck_assert_uint_eq(routes[0].traits.timeout_ms, 2500);
+	for (uint32_t i = 1; i < 300; i++) {
+		ck_assert_int_eq(routes[i].traits.kind, CM_ROUTE_IDEMPOTENT);
+		ck_assert_uint_eq(routes[i].traits.priority, 2);
+		ck_assert_uint_eq(routes[i].traits.timeout_ms, 2000);
+	}
+}
+
 /* Ten plans that differ only in their versions must not make the follower build
  * its table of routes again. */
 TEST(plan_with_unchanged_routes_keeps_the_route_table)
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -313,6 +313,54 @@
 	cm_steer_plan_finish(&plan);
 }
 
+/* A desired state whose route states properties of its requests, and the
+ * traits used. Invalid ones must not remove the route from the plan, and a kind
+ * that is not known must not count as repeatable. */
+static const struct {
+	const char *state;
+	struct cm_route_traits traits;
+	bool is_repeatable;
+} traits[] = {
+	{ STATE(ROUTE(""), SERVICE), { CM_ROUTE_OTHER, 0, 0 }, false },
+	{ STATE(ROUTE(",\"type\":\"idempotent\",\"priority\":2,"
+		      "\"timeout-ms\":2000"),
+		SERVICE),
+	  { CM_ROUTE_IDEMPOTENT, 2, 2000 },
+	  true },
+	{ STATE(ROUTE(",\"type\":\"download\""), SERVICE),
+	  { CM_ROUTE_DOWNLOAD, 0, 0 },
+	  true },
+	{ STATE(ROUTE(",\"type\":\"non_idempotent\",\"priority\":1"), SERVICE),
+	  { CM_ROUTE_NON_IDEMPOTENT, 1, 0 },
+	  false },
+	{ STATE(ROUTE(",\"type\":\"upload\""), SERVICE),
+	  { CM_ROUTE_UPLOAD, 0, 0 },
+	  false },
+	{ STATE(ROUTE(",\"type\":7,\"priority\":-1,\"timeout-ms\":\"9\""),
+		SERVICE),
+	  { CM_ROUTE_OTHER, 0, 0 },
+	  false },
+};
+
+TEST_TABLE(traits_of_a_route_are_read, traits)
+{
+	const struct cm_endpoint address = { 0xc6120001, 443, IPPROTO_TCP };
+	const struct cm_route_traits *read;
+	struct cm_steer_plan plan;
+	struct value value;
+
+	ASSERT_OK(platform_desired_state_read(
+		&plan, value_init(&value, traits[_i].state)));
+	value_finish(&value);
+	read = &cm_steer_plan_find_route(&plan, &address)->traits;
+	ck_assert_int_eq(read->kind, traits[_i].traits.kind);
+	ck_assert_uint_eq(read->priority, traits[_i].traits.priority);
+	ck_assert_uint_eq(read->timeout_ms, traits[_i].traits.timeout_ms);
+	ck_assert_int_eq(cm_route_is_repeatable(read),
+			 traits[_i].is_repeatable);
+	cm_steer_plan_finish(&plan);
+}
+
 TEST(route_resolves_to_its_service)
 {
 	const struct cm_endpoint address = { 0xc6120001, 443, IPPROTO_TCP };
--- a/tests/unit/test_registry_item.c
+++ b/tests/unit/test_registry_item.c
@@ -261,7 +261,7 @@
 TEST(one_route_changes_one_item)
 {
 	write_plan(2400, UINT32_MAX, 1);
-	ck_assert_uint_eq(changed_items, CM_PLAN_PARTS + 2);
+	ck_assert_uint_eq(changed_items, CM_PLAN_PARTS + 3);
 	write_plan(2400, UINT32_MAX, 2);
 	ck_assert_uint_eq(changed_items, 0);
 	/* The item of the route, and the item of the version and digest. */
