Reset open flows whose server is gone by evidence of the registry

Change: src/core/steer_gone.c decides at each packet of an open flow. The flow is reset when its server was removed after draining, when a later run is registered under its id, or when it was removed without draining and at least half of the servers of its failure domain are registered. The data has to be fresh and renewed since the last pause, the registry reachable, no grace period running, and the instance not cut off. A server that is LAPSED becomes LEFT after the grace period once the data was current at its end.

Ruled out: acting at once on a removal without draining. A failure domain that is cut off from the registry loses its entries one after another within one renewal interval (1.2 s), so the first half would be reset while alive. The removal counts once the data was current 1.2 s later. Also ruled out: acting on a removal alone when callers still acknowledge responses of the server; it has lost only the registry.

The reset of a data packet already carries the caller's "ack" as its sequence number; a test of platform/packet_header.c now covers it.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -206,6 +206,12 @@
 	  "packets of open flows dropped because they carry no token")         \
 	X(STEER_UNKNOWN_TOKEN, "steer_unknown_token",                          \
 	  "packets of open flows dropped because no server has their token")   \
+	X(STEER_GONE_DRAINED, "steer_gone_drained",                            \
+	  "open flows reset as their server was removed after draining")       \
+	X(STEER_GONE_REPLACED, "steer_gone_replaced",                          \
+	  "open flows reset as a later run of their server is registered")     \
+	X(STEER_GONE_REMOVED, "steer_gone_removed",                            \
+	  "open flows reset as their server was removed without draining")     \
 	X(STEER_FLOW_FORGOTTEN, "steer_flow_forgotten",                        \
 	  "flows evicted because the flow table was full")                     \
 	X(STEER_FLOW_FAILED, "steer_flow_failed",                              \
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -23,6 +23,7 @@
 #include "chervilmast/histogram.h"
 #include "chervilmast/steer_change.h"
 #include "chervilmast/steer_flow.h"
+#include "chervilmast/steer_gone.h"
 #include "chervilmast/steer_packet.h"
 #include "chervilmast/steer_peer.h"
 #include "chervilmast/steer_plan.h"
@@ -114,6 +115,7 @@
  * @was_ready: whether the instance was ready at the last tick
  * @unanswered_syns: consecutive SYNs, to any server, that were not answered
  * @domains_out_count: number of @domains_out
+ * @gone: state for decisions on servers that are gone
  * @failures: failed flows since the last call of cm_steer_take_failures()
  * @successes: successful flows since the last call of cm_steer_take_successes()
  * @changes: state changes to be logged
@@ -143,6 +145,7 @@
 	bool was_ready;
 	uint32_t unanswered_syns;
 	uint32_t domains_out_count;
+	struct cm_steer_gone gone;
 	struct cm_steer_flow_results failures;
 	struct cm_steer_flow_results successes;
 	struct cm_steer_changes changes;
--- a/include/chervilmast/steer_packet.h
+++ b/include/chervilmast/steer_packet.h
@@ -68,11 +68,14 @@
  * @reason: counter of the reason; CM_C_STEER_PLACED, CM_C_STEER_PLACED_AGAIN,
  *          CM_C_STEER_SYN_REPEATED or CM_C_STEER_BY_TOKEN when it is forwarded
  * @token: token to write into the packet, when it is forwarded
- * @server_id: id of the server, when it is forwarded
+ * @server_id: id of the server, when it is forwarded, or of the server that is
+ *             gone
  * @server: where the server receives datagrams, when it is forwarded
  * @service: service of a new flow; empty where it is not known
  * @plan_version: version of the plan that the decision used
  * @registry_age_ms: age of the registry data, ms
+ * @evidence_age_ms: time since when the server of an open flow that is reset
+ *                   counts as gone, ms; else 0
  */
 struct cm_steer_verdict {
 	enum cm_steer_action action;
@@ -83,6 +86,7 @@
 	char service[CM_NAME_SIZE];
 	uint64_t plan_version;
 	uint64_t registry_age_ms;
+	uint64_t evidence_age_ms;
 };
 
 #endif
--- a/include/chervilmast/steer_server.h
+++ b/include/chervilmast/steer_server.h
@@ -64,6 +64,10 @@
  * @domain_hash: hash of the name of its failure domain
  * @listing: registration state
  * @listing_changed_ms: when @listing last changed, ms
+ * @removed_ms: when its entry last disappeared, ms
+ * @is_replaced: a later run under the same id was registered
+ * @acked_ms: when a caller last acknowledged new bytes of it at this instance,
+ *            ms; 0 for never
  * @cold_until_ms: end of its cold start, ms
  * @cold_tokens: token bucket for new flows during its cold start, thousandths
  *               of a flow
@@ -89,6 +93,9 @@
 	uint64_t domain_hash;
 	enum cm_listing listing;
 	uint64_t listing_changed_ms;
+	uint64_t removed_ms;
+	bool is_replaced;
+	uint64_t acked_ms;
 	uint64_t cold_until_ms;
 	uint64_t cold_tokens;
 	uint64_t cold_refilled_ms;
@@ -119,6 +126,8 @@
  * @count: number of servers in @all
  * @earliest_left_ms: lower bound of the times at which servers in @all left,
  *                    ms; 0 when none has left
+ * @listing_changes: number of changes of @listing and removals of servers
+ * @lapsed_count: number of servers in @all that are CM_LAPSED
  */
 struct cm_steer_servers {
 	struct cm_steer_server_list all;
@@ -128,6 +137,8 @@
 	struct cm_steer_server_bucket by_id[CM_STEER_SERVER_BUCKETS];
 	uint32_t count;
 	uint64_t earliest_left_ms;
+	uint64_t listing_changes;
+	uint32_t lapsed_count;
 };
 
 /**
@@ -213,6 +224,14 @@
 				  struct cm_steer_server *server,
 				  enum cm_listing listing, uint64_t now_ms);
 
+/**
+ * cm_steer_servers_end_lapses() - mark all servers whose entry lapsed as left
+ * @servers: the table
+ * @now_ms: current time, ms
+ */
+void cm_steer_servers_end_lapses(struct cm_steer_servers *servers,
+				 uint64_t now_ms);
+
 /**
  * cm_steer_servers_add_suspect() - add a server to the list of suspects
  * @servers: the table
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -48,13 +48,6 @@
 	pthread_mutex_destroy(&steer->lock);
 }
 
-static bool registry_data_is_fresh(const struct cm_steer *steer,
-				   uint64_t now_ms)
-{
-	return now_ms <=
-	       steer->registry_confirmed_ms + steer->config.registry_fresh_ms;
-}
-
 static void set_verdict(struct cm_steer_verdict *verdict,
 			enum cm_steer_action action, enum cm_counter reason)
 {
@@ -72,7 +65,7 @@
 {
 	if (!steer->plan.version)
 		set_verdict(verdict, CM_STEER_RESET, CM_C_STEER_NO_PLAN);
-	else if (registry_data_is_fresh(steer, now_ms))
+	else if (cm_steer_registry_is_fresh(steer, now_ms))
 		set_verdict(verdict, CM_STEER_RESET, reason);
 	else
 		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_STALE);
@@ -271,7 +264,7 @@
 {
 	return steer->registry_confirmed_ms &&
 	       !steer->is_registry_unreachable &&
-	       !registry_data_is_fresh(steer, now_ms) &&
+	       !cm_steer_registry_is_fresh(steer, now_ms) &&
 	       packet->held_ms < REFRESH_HOLD_MAX_MS;
 }
 
@@ -382,8 +375,11 @@
 		return;
 	if (!flow->is_open && !(packet->flags & CM_STEER_RST))
 		record_syn_answer(steer, now_ms, packet, flow, server);
-	if (packet->flags & CM_STEER_ACK)
+	if (packet->flags & CM_STEER_ACK) {
+		if ((int32_t)(packet->ack - flow->last_ack) > 0)
+			server->acked_ms = now_ms;
 		flow->last_ack = packet->ack;
+	}
 	if (packet->data_length)
 		record_request(steer, flow);
 	record_response(steer, flow, server);
@@ -408,10 +404,28 @@
 	return out && now_ms >= out->since_ms + steer->config.domain_out_ms;
 }
 
+/* Resets an open flow whose server is gone; see steer_gone.h. */
+static void reset_gone_flow(struct cm_steer *steer, uint64_t now_ms,
+			    const struct cm_steer_packet *packet,
+			    const struct cm_steer_server *server,
+			    const struct cm_steer_gone_evidence *evidence,
+			    struct cm_steer_verdict *verdict)
+{
+	struct cm_steer_flow *flow =
+		cm_steer_flows_find(&steer->flows, &packet->key);
+
+	set_verdict(verdict, CM_STEER_RESET, evidence->reason);
+	verdict->server_id = server->entry.id;
+	verdict->evidence_age_ms = now_ms - evidence->since_ms;
+	if (flow && flow->token == packet->token)
+		cm_steer_remove_flow(steer, flow);
+}
+
 static void forward_by_token(struct cm_steer *steer, uint64_t now_ms,
 			     const struct cm_steer_packet *packet,
 			     struct cm_steer_verdict *verdict)
 {
+	struct cm_steer_gone_evidence evidence;
 	struct cm_steer_server *server;
 
 	if (!packet->token) {
@@ -428,6 +442,11 @@
 		return;
 	}
 	update_flow(steer, now_ms, packet, server);
+	if (cm_steer_gone_check(steer, now_ms, packet, server, &evidence)) {
+		reset_gone_flow(steer, now_ms, packet, server, &evidence,
+				verdict);
+		return;
+	}
 	forward_to(steer, now_ms, server, CM_C_STEER_BY_TOKEN, verdict);
 }
 
--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -4,7 +4,8 @@
  * steer.c decides on callers' packets, steer_choice.c chooses the servers of
  * new flows, steer_registry.c applies registry data, steer_watch.c detects
  * unanswered SYNs, selects the servers to be probed and determines readiness,
- * and steer_flow_result.c records successful and failed flows.
+ * steer_flow_result.c records successful and failed flows, and steer_gone.c
+ * decides whether the server of an open flow is gone.
  */
 #ifndef CORE_STEER_INTERNAL_H
 #define CORE_STEER_INTERNAL_H
@@ -40,6 +41,42 @@
 			       const struct cm_steer_server *server,
 			       uint64_t now_ms);
 
+/**
+ * cm_steer_registry_is_fresh() - whether the registry data is recent
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ *
+ * Return: true when it was current at most registry_fresh_ms ago.
+ */
+bool cm_steer_registry_is_fresh(const struct cm_steer *steer, uint64_t now_ms);
+
+/**
+ * cm_steer_may_have_lapsed() - whether entries may be missing because of an
+ * outage of the registry
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ *
+ * Return: true during an outage and the grace period after it.
+ */
+bool cm_steer_may_have_lapsed(const struct cm_steer *steer, uint64_t now_ms);
+
+/**
+ * cm_steer_end_lapses() - mark servers that lapsed as left once the grace
+ * period after an outage is over
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ */
+void cm_steer_end_lapses(struct cm_steer *steer, uint64_t now_ms);
+
+/**
+ * cm_steer_is_cut_off() - whether the instance may be unable to reach servers
+ * @steer: the instance; its lock is held
+ *
+ * Return: true after several consecutive unanswered SYNs, and from the start
+ * until a server has answered a SYN or a probe.
+ */
+bool cm_steer_is_cut_off(const struct cm_steer *steer);
+
 /**
  * cm_steer_record_change() - record a state change for the log
  * @steer: the instance; its lock is held
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -96,11 +96,13 @@
 	return error;
 }
 
-/*
- * Whether an entry that is removed now may have expired because of an outage of
- * the registry.
- */
-static bool may_have_lapsed(const struct cm_steer *steer, uint64_t now_ms)
+bool cm_steer_registry_is_fresh(const struct cm_steer *steer, uint64_t now_ms)
+{
+	return now_ms <=
+	       steer->registry_confirmed_ms + steer->config.registry_fresh_ms;
+}
+
+bool cm_steer_may_have_lapsed(const struct cm_steer *steer, uint64_t now_ms)
 {
 	return steer->is_registry_unreachable ||
 	       (steer->registry_restored_ms &&
@@ -114,12 +116,24 @@
 {
 	bool lapsed = server->listing != CM_LEFT &&
 		      !server->entry.is_draining &&
-		      may_have_lapsed(steer, now_ms);
+		      cm_steer_may_have_lapsed(steer, now_ms);
 
 	cm_steer_servers_set_listing(&steer->servers, server,
 				     lapsed ? CM_LAPSED : CM_LEFT, now_ms);
 }
 
+/*
+ * A server that is alive registers again within the grace period. The data must
+ * have been current at the end of that period, or it may lack a new entry.
+ */
+void cm_steer_end_lapses(struct cm_steer *steer, uint64_t now_ms)
+{
+	if (!cm_steer_may_have_lapsed(steer, now_ms) &&
+	    steer->registry_confirmed_ms >=
+		    steer->registry_restored_ms + steer->config.lapse_grace_ms)
+		cm_steer_servers_end_lapses(&steer->servers, now_ms);
+}
+
 void cm_steer_remove_server(struct cm_steer *steer, uint64_t now_ms,
 			    uint64_t id)
 {
--- a/src/core/steer_server.c
+++ b/src/core/steer_server.c
@@ -68,6 +68,7 @@
 	LIST_REMOVE(server, by_id);
 	TAILQ_REMOVE(&servers->all, server, link);
 	servers->count--;
+	servers->listing_changes++;
 	free(server);
 }
 
@@ -178,8 +179,11 @@
 		latest = server_add(servers, entry);
 	if (!latest)
 		return CM_E_MEMORY;
-	if (known && known != latest)
+	if (known && known != latest) {
+		known->is_replaced = true;
+		servers->listing_changes++;
 		cm_steer_servers_set_listing(servers, known, CM_LEFT, now_ms);
+	}
 	latest->entry = *entry;
 	latest->cold_until_ms = now_ms + entry->cold_left_ms;
 	error = assign_pool(servers, latest);
@@ -197,6 +201,11 @@
 {
 	if (server->listing == listing && server->listing_changed_ms)
 		return;
+	if (server->listing == CM_LISTED)
+		server->removed_ms = now_ms;
+	servers->lapsed_count -= server->listing == CM_LAPSED;
+	servers->lapsed_count += listing == CM_LAPSED;
+	servers->listing_changes++;
 	server->listing = listing;
 	server->listing_changed_ms = now_ms;
 	if (listing != CM_LEFT)
@@ -206,6 +215,19 @@
 		servers->earliest_left_ms = now_ms;
 }
 
+void cm_steer_servers_end_lapses(struct cm_steer_servers *servers,
+				 uint64_t now_ms)
+{
+	struct cm_steer_server *server;
+
+	if (!servers->lapsed_count)
+		return;
+	TAILQ_FOREACH (server, &servers->all, link)
+		if (server->listing == CM_LAPSED)
+			cm_steer_servers_set_listing(servers, server, CM_LEFT,
+						     now_ms);
+}
+
 static void update_earliest_left(struct cm_steer_servers *servers,
 				 const struct cm_steer_server *server)
 {
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -104,6 +104,8 @@
 
 	if (now_ms < steer->last_now_ms)
 		step_ms = 0;
+	if (step_ms > ACTIVE_STEP_MAX_MS)
+		cm_steer_gone_paused(&steer->gone, steer->last_now_ms, now_ms);
 	steer->active_ms +=
 		step_ms < ACTIVE_STEP_MAX_MS ? step_ms : ACTIVE_STEP_MAX_MS;
 	steer->last_now_ms = now_ms;
@@ -136,11 +138,7 @@
 	return is_leaving;
 }
 
-/*
- * An instance counts as cut off after CUT_OFF_SYNS consecutive unanswered SYNs,
- * and from its start until a server has answered a SYN or a probe.
- */
-static bool is_cut_off(const struct cm_steer *steer)
+bool cm_steer_is_cut_off(const struct cm_steer *steer)
 {
 	return !steer->has_reached_server ||
 	       steer->unanswered_syns >= CUT_OFF_SYNS;
@@ -193,7 +191,7 @@
 
 	pthread_mutex_lock(&steer->lock);
 	server = suspect_to_probe(steer, now_ms);
-	if (!server && is_cut_off(steer) &&
+	if (!server && cm_steer_is_cut_off(steer) &&
 	    now_ms >= steer->probed_ms + CUT_OFF_PROBE_MS) {
 		server = least_recently_chosen(steer, now_ms);
 		if (server)
@@ -228,7 +226,7 @@
 static bool is_ready(struct cm_steer *steer, uint64_t now_ms)
 {
 	return steer->plan.version && !steer->is_leaving &&
-	       !is_cut_off(steer) && has_usable_server(steer, now_ms);
+	       !cm_steer_is_cut_off(steer) && has_usable_server(steer, now_ms);
 }
 
 bool cm_steer_is_ready(struct cm_steer *steer, uint64_t now_ms)
@@ -259,6 +257,7 @@
 	cm_steer_advance_clock(steer, now_ms);
 	check_unanswered_syns(steer);
 	cm_steer_check_idle_flows(steer, now_ms);
+	cm_steer_end_lapses(steer, now_ms);
 	if (now_ms > steer->config.flow_life_ms)
 		cm_steer_servers_expire(&steer->servers,
 					now_ms - steer->config.flow_life_ms);
@@ -287,7 +286,7 @@
 
 	pthread_mutex_lock(&steer->lock);
 	TAILQ_FOREACH (server, &steer->servers.suspects, suspect_link) {
-		if (count == max || is_cut_off(steer))
+		if (count == max || cm_steer_is_cut_off(steer))
 			break;
 		if (server->listing != CM_LEFT &&
 		    cm_server_health_is_silent(&server->health, now_ms))
--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -30,6 +30,7 @@
 	X(EJECTION, "ejection")                   \
 	X(FAILING_COST, "failing-cost")           \
 	X(FAILING_SERVER, "failing-server")       \
+	X(GONE_REGISTRY, "gone-registry")         \
 	X(HALF_OPEN_BOUND, "half-open-bound")     \
 	X(HAND_OVER, "hand-over")                 \
 	X(HEAD_CHECK, "head-check")               \
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -25,6 +25,8 @@
 	  "a SYN was forwarded to a backend server")                           \
 	X(FLOW_REFUSED, INFO, "flow_refused",                                  \
 	  "a packet was dropped or held, or its flow reset; reason says why")  \
+	X(FLOW_GONE, INFO, "flow_gone",                                        \
+	  "an open flow was reset as its server is gone; reason says why")     \
 	X(LEAVING, INFO, "leaving", "a graceful shutdown has begun")           \
 	X(LIBRARY, WARNING, "library", "a library logged a message")           \
 	X(LINES_LEFT_OUT, WARNING, "lines_left_out",                           \
--- a/src/daemon/steer_log.c
+++ b/src/daemon/steer_log.c
@@ -14,8 +14,33 @@
 	[CM_STEER_CHANGE_NOT_READY] = CM_EVENT_NOT_READY,
 };
 
+static void log_gone(const struct cm_steer_packet *packet,
+		     const struct cm_steer_verdict *verdict)
+{
+	char caller[CM_ENDPOINT_TEXT_SIZE], route[CM_ENDPOINT_TEXT_SIZE];
+
+	cm_log(CM_EVENT_FLOW_GONE,
+	       "caller=%s route=%s reason=%s server=%llx token=%08x "
+	       "evidence_age_ms=%llu plan=%llu registry_age_ms=%llu",
+	       cm_endpoint_write(&packet->key.caller, caller),
+	       cm_endpoint_write(&packet->key.service, route),
+	       cm_counter_name(verdict->reason),
+	       (unsigned long long)verdict->server_id, packet->token,
+	       (unsigned long long)verdict->evidence_age_ms,
+	       (unsigned long long)verdict->plan_version,
+	       (unsigned long long)verdict->registry_age_ms);
+}
+
+static bool is_gone(enum cm_counter reason)
+{
+	return reason == CM_C_STEER_GONE_DRAINED ||
+	       reason == CM_C_STEER_GONE_REPLACED ||
+	       reason == CM_C_STEER_GONE_REMOVED;
+}
+
 /*
- * Every packet that is not forwarded is logged as CM_EVENT_FLOW_REFUSED; the
+ * A reset of an open flow is logged as CM_EVENT_FLOW_GONE. Every other packet
+ * that is not forwarded is logged as CM_EVENT_FLOW_REFUSED; the
  * field reason states whether it was refused, held or dropped.
  */
 void cm_steer_log_verdict(const struct cm_steer_packet *packet,
@@ -26,6 +51,10 @@
 
 	if (verdict->reason == CM_C_STEER_BY_TOKEN)
 		return;
+	if (is_gone(verdict->reason)) {
+		log_gone(packet, verdict);
+		return;
+	}
 	cm_log(verdict->action == CM_STEER_FORWARD ? CM_EVENT_FLOW_PLACED :
 						     CM_EVENT_FLOW_REFUSED,
 	       "caller=%s route=%s reason=%s service=%s server=%llx at=%s "
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -48,6 +48,28 @@
 	ck_assert_mem_eq(written, reset, sizeof(reset));
 }
 
+/* A caller accepts a reset of an open flow only if its sequence number is at
+ * most 76,800 after the number that it expects next. That number is in its last
+ * packet, also when the packet carries data or the numbers wrap around. */
+TEST(reset_of_a_data_packet_has_the_expected_number)
+{
+	uint8_t bytes[PLATFORM_HEADER_SIZE], written[CM_FABRIC_RESET_MAX];
+	uint8_t expected[PLATFORM_HEADER_SIZE];
+
+	memcpy(bytes, syn, sizeof(bytes));
+	memcpy(expected, reset, sizeof(expected));
+	/* Flags of a data packet, a sequence number of its own, and the
+	 * acknowledgment number 0xfffffff0. */
+	bytes[0] = 0x04;
+	memset(bytes + 8, 0x55, 4);
+	memset(bytes + 12, 0xff, 4);
+	bytes[15] = 0xf0;
+	memcpy(expected + 8, bytes + 12, 4);
+	ck_assert_uint_eq(platform_fabric.write_reset(bytes, written),
+			  sizeof(expected));
+	ck_assert_mem_eq(written, expected, sizeof(expected));
+}
+
 /* The sender's checksum covers everything but the token, so nothing else may
  * change. */
 TEST(set_token_changes_only_the_token)
