Read the clock after the socket when a connection is served

Cause: serve_connection() read the clock before it read from the socket. When the millisecond changed in between, the connection was last used later than that reading, the difference "now - last use" wrapped around, and the connection was closed as idle: with a message half received, or right after an answer. Another thread that queued a message in between had the same effect through the time of last progress.

Ruled out: a comparison that tolerates a last use in the future. It hides the order of the readings, and each further use of the time would need it too.

Change: the clock is read after the input was handled and with the lock held, so that no recorded use is later.

--- a/Makefile
+++ b/Makefile
@@ -95,10 +95,11 @@
 	@echo "LD $@"
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(TEST_LIBS) $(LIBS)
 
+# --wrap: see tests/unit/clock_step.h.
 $(BUILD)/unit: $(call object,$(UNIT) $(FAKE) $(SERVICE) $(SHELL_SRC)) \
 		$(BUILD)/libchervilmast.a
 	@echo "LD $@"
-	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(TEST_LIBS) $(LIBS)
+	@$(CC) $(ALL_CFLAGS) -Wl,--wrap=cm_clock_ms $^ -o $@ $(TEST_LIBS) $(LIBS)
 
 $(BUILD)/soak: $(call object,$(wildcard tests/soak/*.c) $(FAKE) \
 		$(SHELL_SRC)) \
--- a/src/adapters/peer_tcp.c
+++ b/src/adapters/peer_tcp.c
@@ -254,12 +254,17 @@
 			     struct cm_peer_connection *connection,
 			     short events)
 {
-	uint64_t now_ms = cm_clock_ms();
+	uint64_t now_ms;
 	int error = CM_OK;
 
 	if (events & (POLLIN | POLLHUP | POLLERR))
 		error = handle_input(peers, connection);
 	pthread_mutex_lock(&peers->lock);
+	/*
+	 * Read after handle_input() and with the lock held: the connection must
+	 * not have been used later than now_ms, or is_timed_out() wraps around.
+	 */
+	now_ms = cm_clock_ms();
 	if (!error && cm_peer_connection_has_pending(connection))
 		error = cm_peer_connection_write(connection, now_ms);
 	if (error || is_timed_out(peers, connection, now_ms))
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -9,6 +9,7 @@
 #include "adapters/peer_tcp.h"
 #include "adapters/socket.h"
 #include "chervilmast/error.h"
+#include "unit/clock_step.h"
 
 /* Number of runs of the event loop after which a test fails. */
 #define ROUNDS 400
@@ -75,6 +76,7 @@
 
 static void teardown(void)
 {
+	clock_step_set(0);
 	cm_peer_tcp_finish(&sides[0].peers);
 	cm_peer_tcp_finish(&sides[1].peers);
 }
@@ -149,6 +151,29 @@
 	ck_assert_uint_eq(sides[1].last_size, CM_MESSAGE_BLOB_SIZE_MAX);
 }
 
+/* Guards against a connection that is closed as idle because the millisecond
+ * changes while the connection is served: its last use is then later than a
+ * time read before, and the difference wraps around. */
+TEST(connection_stays_open_when_the_clock_changes_meanwhile)
+{
+	clock_step_set(1);
+	ASSERT_OK(
+		send_kind(&sides[0], &sides[1].control, CM_MESSAGE_HEARTBEAT));
+	run_until(&sides[0].received[CM_MESSAGE_HEARTBEAT_ACK], 1);
+	ck_assert_uint_eq(sides[0].peers.count, 1);
+	ck_assert_uint_eq(sides[1].peers.count, 1);
+}
+
+/* As above, for a message that is received in several parts: the receiver must
+ * not close the connection before the message is complete. */
+TEST(large_note_arrives_whole_when_the_clock_changes_meanwhile)
+{
+	clock_step_set(1);
+	ASSERT_OK(send_large_note());
+	run_until(&sides[1].received[CM_MESSAGE_NOTES], 1);
+	ck_assert_uint_eq(sides[1].last_size, CM_MESSAGE_BLOB_SIZE_MAX);
+}
+
 TEST(full_queue_drops_and_counts)
 {
 	int error = CM_OK;
