Drop SYNs that waited too long when there is no plan

Cause: an instance without a plan reset every SYN, also those that had waited in its socket during a pause.

Ruled out: to drop every SYN without a plan. The reset of a fresh SYN lets the caller try another instance at once instead of after 1.4 s. A limit of 800 ms for every SYN, as caller_may_have_given_up() has it: a first SYN is repeated after 200 ms, and that one may open the flow.

Change: without a plan a SYN is dropped once it has waited, held time included, for the time after which its caller repeats it (200 ms after the first, 400 ms after the second) or gives up (800 ms after the last). Counter steer_no_plan_late; switch no-plan-syn; scenario paused-start of the process tests; a table of waits in test_steer.c.

Resets for other reasons (no route, no server) are as before: they rest on a plan and on registry data that other instances have too.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -196,6 +196,8 @@
 	  "new flows reset because no route has their destination")            \
 	X(STEER_NO_PLAN, "steer_no_plan",                                      \
 	  "new flows reset because this instance has no plan yet")             \
+	X(STEER_NO_PLAN_LATE, "steer_no_plan_late",                            \
+	  "SYNs dropped without a plan because they waited too long to reset") \
 	X(STEER_PROBES, "steer_probes",                                        \
 	  "probe connections to suspected servers, or to any if none answers") \
 	X(STEER_NO_SERVER, "steer_no_server",                                  \
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -62,15 +62,36 @@
 	verdict->reason = reason;
 }
 
+/*
+ * Whether the caller may have repeated the SYN since it was received, or given
+ * up after the last one. The repeated SYN may have opened the flow at another
+ * instance.
+ */
+static bool caller_may_have_repeated(const struct cm_steer_packet *packet)
+{
+	uint32_t repeats = packet->repeats;
+	uint32_t interval_ms =
+		repeats < SYN_REPEATS ?
+			syn_offset_ms[repeats + 1] - syn_offset_ms[repeats] :
+			LAST_SYN_TIMEOUT_MS;
+
+	return (uint64_t)packet->waited_ms + packet->held_ms >= interval_ms;
+}
+
 /*
  * Refuses a SYN. A reset ends the caller's connection attempt, so with outdated
- * registry data the SYN is dropped instead. Without a plan the SYN is reset in
- * any case, as the caller's next attempt may reach another instance.
+ * registry data the SYN is dropped instead. Without a plan the SYN is reset, as
+ * the caller's next attempt may reach another instance, unless it waited so
+ * long that the reset could end a flow opened at another instance meanwhile.
  */
 static void refuse(const struct cm_steer *steer, uint64_t now_ms,
-		   enum cm_counter reason, struct cm_steer_verdict *verdict)
+		   const struct cm_steer_packet *packet, enum cm_counter reason,
+		   struct cm_steer_verdict *verdict)
 {
-	if (!steer->plan.version)
+	if (!steer->plan.version && caller_may_have_repeated(packet) &&
+	    !cm_switched_off(CM_SWITCH_NO_PLAN_SYN))
+		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_NO_PLAN_LATE);
+	else if (!steer->plan.version)
 		set_verdict(verdict, CM_STEER_RESET, CM_C_STEER_NO_PLAN);
 	else if (registry_data_is_fresh(steer, now_ms))
 		set_verdict(verdict, CM_STEER_RESET, reason);
@@ -249,7 +270,7 @@
 		return;
 	}
 	if (!server) {
-		refuse(steer, now_ms, CM_C_STEER_NO_SERVER, verdict);
+		refuse(steer, now_ms, packet, CM_C_STEER_NO_SERVER, verdict);
 		return;
 	}
 	cm_steer_record_choice(steer, server, now_ms);
@@ -290,7 +311,7 @@
 		return;
 	}
 	if (!route) {
-		refuse(steer, now_ms, CM_C_STEER_NO_ROUTE, verdict);
+		refuse(steer, now_ms, packet, CM_C_STEER_NO_ROUTE, verdict);
 		return;
 	}
 	if (flow && packet->repeats &&
--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -48,6 +48,7 @@
 	X(LEAVING_SYN, "leaving-syn")             \
 	X(NOTE_SPREAD, "note-spread")             \
 	X(NOT_RUN, "not-run")                     \
+	X(NO_PLAN_SYN, "no-plan-syn")             \
 	X(OPENING_PASSED, "opening-passed")       \
 	X(OWN_SYN, "own-syn")                     \
 	X(PASSED_SEARCH, "passed-search")         \
--- a/tests/process/scenario.c
+++ b/tests/process/scenario.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "process/process.h"
+#include "process/proxy.h"
 
 #define MS_PER_S 1000
 #define REQUESTS_PER_S 100
@@ -10,6 +11,15 @@
 #define FLOOD_PER_S 500
 #define FLOOD_MS 10000
 #define SLOW_START_MS 2500
+#define PAUSED_INSTANCE 0
+/* Time from the kill after which the restarted instances wait for their first
+ * read of the store, which ends after 1 s, ms. */
+#define RESTARTED_MS 700
+/* Time within which the proxy has closed all connections, ms. */
+#define CLOSE_MS 100
+/* Longer than an instance waits for its first read, so that it goes on without
+ * a plan at the end of the pause, ms. */
+#define START_PAUSE_MS 2500
 
 /* Stops one instance, drains one server and kills another instance. */
 static void play_plain(struct platform_standin *store)
@@ -76,10 +86,41 @@
 	run(MS_PER_S, REQUESTS_PER_S);
 }
 
+/*
+ * Guards against resets of flows that were opened at another instance. All
+ * instances are killed while the store can't be reached. One is paused before
+ * it has read the store, and SYNs wait in its socket. Their callers repeat them
+ * at instances that have become ready. The first read of the paused one fails,
+ * so that it goes on without a plan, and it must not reset any of these SYNs.
+ */
+static void play_paused_start(struct platform_standin *store)
+{
+	(void)store;
+	run(MS_PER_S, REQUESTS_PER_S);
+	proxy_set(PROXY_SILENT);
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++)
+		instance_signal(i, SIGKILL);
+	fault_extend(now_ms() + RESTARTED_MS + START_PAUSE_MS + MS_PER_S);
+	run(RESTARTED_MS, REQUESTS_PER_S);
+	instance_signal(PAUSED_INSTANCE, SIGSTOP);
+	proxy_set(PROXY_RESET);
+	run(CLOSE_MS, REQUESTS_PER_S);
+	proxy_set(PROXY_PASS);
+	run(START_PAUSE_MS, REQUESTS_PER_S);
+	instance_signal(PAUSED_INSTANCE, SIGCONT);
+	run(MS_PER_S, REQUESTS_PER_S);
+	if (instance_metric(PAUSED_INSTANCE, "steer_no_plan_total"))
+		violation("flows were reset after the pause");
+	if (!instance_metric(PAUSED_INSTANCE, "steer_no_plan_late_total"))
+		violation("no SYN waited during the pause without a plan");
+	run(MS_PER_S, REQUESTS_PER_S);
+}
+
 static const struct scenario scenarios[] = {
 	{ "plain", NULL, play_plain },
 	{ "blocked-log", prepare_blocked_log, play_blocked_log },
 	{ "slow-start", NULL, play_slow_start },
+	{ "paused-start", NULL, play_paused_start },
 };
 
 const struct scenario *scenario_find(const char *name)
--- a/tests/unit/test_steer.c
+++ b/tests/unit/test_steer.c
@@ -56,6 +56,34 @@
 	ck_assert(!cm_steer_is_ready(&steering, steering_ms));
 }
 
+/* A SYN that waited in the receive queue, and what becomes of it without a
+ * plan. */
+static const struct {
+	uint32_t repeats;
+	uint32_t waited_ms;
+	enum cm_steer_action action;
+} waited_without_plan[] = {
+	{ 0, 199, CM_STEER_RESET }, { 0, 200, CM_STEER_DROP },
+	{ 1, 399, CM_STEER_RESET }, { 1, 400, CM_STEER_DROP },
+	{ 2, 799, CM_STEER_RESET }, { 2, 800, CM_STEER_DROP },
+	{ 9, 799, CM_STEER_RESET }, { 0, 2477, CM_STEER_DROP },
+};
+
+/* Guards against the reset of an open flow: a node that was paused before it
+ * had a plan finds SYNs that waited in its socket, and their callers may have
+ * opened the flows at another node by a repeated SYN. */
+TEST_TABLE(syn_that_waited_without_a_plan_is_not_reset, waited_without_plan)
+{
+	struct cm_steer_verdict verdict =
+		steering_send_delayed_syn(1, waited_without_plan[_i].repeats,
+					  waited_without_plan[_i].waited_ms);
+
+	ck_assert_int_eq(verdict.action, waited_without_plan[_i].action);
+	ck_assert_int_eq(verdict.reason, verdict.action == CM_STEER_DROP ?
+						 CM_C_STEER_NO_PLAN_LATE :
+						 CM_C_STEER_NO_PLAN);
+}
+
 /* A node whose registry data is old may lack a route that was added. It holds
  * the SYN for 200 ms to wait for new data, and then drops it without a reset.
  */
