Reset open flows whose server is gone by two observations

Cause: evidence of the registry comes 2.4 to 3.6 s after a server died and 1.2 s more for a removal without draining.

Change, for routes with repeatable requests: an instance remembers two data packets for each server and sees from their retransmission that the server does not acknowledge data (data_watch.h). It resets flows when the server is also silent to SYNs and probes, suspected by the source or removed from the registry. The source counts distinct reporters (down_list.h) and lists servers as down that two instances report, one of them because of data; those are reset at the first packet. A request to the source is sent at once when there is more to report, at most once in 100 ms and only by instances that have a source.

Wire: decoders up to now reject messages with further elements, so a marked token is listed a second time among the suspects; they handle it twice with the same effect.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -212,6 +212,10 @@
 	  "open flows reset as a later run of their server is registered")     \
 	X(STEER_GONE_REMOVED, "steer_gone_removed",                            \
 	  "open flows reset as their server was removed without draining")     \
+	X(STEER_GONE_DOWN, "steer_gone_down",                                  \
+	  "open flows reset as several instances found their server down")     \
+	X(STEER_GONE_SILENT, "steer_gone_silent",                              \
+	  "open flows reset as their server answers neither SYNs nor data")    \
 	X(STEER_FLOW_FORGOTTEN, "steer_flow_forgotten",                        \
 	  "flows evicted because the flow table was full")                     \
 	X(STEER_FLOW_FAILED, "steer_flow_failed",                              \
--- a/include/chervilmast/message_items.h
+++ b/include/chervilmast/message_items.h
@@ -37,6 +37,7 @@
  *                        is receiving; 0 if there is no transfer
  * @requested_ms: send time of the request by the sender's clock, ms
  * @suspects: servers that the sender suspects from its own observations
+ * @stalled: those of @suspects to which the sender saw a caller retransmit data
  * @failures: servers of the sender's flows that failed since its last request,
  *            one entry for each flow
  * @successes: servers of the sender's flows that succeeded since its last
@@ -48,6 +49,7 @@
 	uint64_t snapshot_incarnation;
 	uint64_t requested_ms;
 	struct cm_message_tokens suspects;
+	struct cm_message_tokens stalled;
 	struct cm_message_tokens failures;
 	struct cm_message_tokens successes;
 };
@@ -87,6 +89,7 @@
  * @items: the items; owned
  * @count: number of @items
  * @suspects: servers that instances in the sender's failure domain suspect
+ * @down: those of @suspects that are down, see down_list.h
  * @ejected: servers that are ejected in the sender's failure domain
  */
 struct cm_message_items {
@@ -99,6 +102,7 @@
 	struct cm_message_item *items;
 	uint32_t count;
 	struct cm_message_tokens suspects;
+	struct cm_message_tokens down;
 	struct cm_message_tokens ejected;
 };
 
--- a/include/chervilmast/steer_gone.h
+++ b/include/chervilmast/steer_gone.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "chervilmast/counter.h"
+#include "chervilmast/message_items.h"
 #include "chervilmast/steer_server.h"
 
 /**
@@ -42,15 +43,35 @@
 	uint32_t missing;
 };
 
+/**
+ * struct cm_steer_down - servers that the source lists as down
+ * @servers: the servers
+ * @since_ms: when the request was sent whose answer first listed each server,
+ *            ms
+ * @requested_ms: when the request was sent whose answer last listed them, ms
+ */
+struct cm_steer_down {
+	struct cm_message_tokens servers;
+	uint64_t since_ms[CM_MESSAGE_TOKENS_MAX];
+	uint64_t requested_ms;
+};
+
 /**
  * struct cm_steer_gone - state for decisions on servers that are gone
  * @renewed_from_ms: registry data that was current at this time or later counts
  *                   as renewed since the last pause of the process, ms
  * @domains: counted failure domains, by hash of the name
+ * @down: servers that the source lists as down
+ * @stalled: servers to which data was retransmitted, also longer ago than
+ *           counts
+ * @has_new_silent: there is more to report of a silent server
  */
 struct cm_steer_gone {
 	uint64_t renewed_from_ms;
 	struct cm_steer_gone_domain domains[CM_STEER_GONE_DOMAINS];
+	struct cm_steer_down down;
+	struct cm_message_tokens stalled;
+	bool has_new_silent;
 };
 
 /**
@@ -72,6 +93,51 @@
 void cm_steer_gone_paused(struct cm_steer_gone *gone, uint64_t began_ms,
 			  uint64_t ended_ms);
 
+/**
+ * cm_steer_gone_apply_down() - replace the servers that the source lists as
+ * down
+ * @gone: the state
+ * @requested_ms: when the request was sent that was answered with the list, ms;
+ *                an older list than the last one is ignored
+ * @servers: the servers
+ */
+void cm_steer_gone_apply_down(struct cm_steer_gone *gone, uint64_t requested_ms,
+			      const struct cm_message_tokens *servers);
+
+/**
+ * cm_steer_gone_is_stalled() - whether data to a server was retransmitted and
+ * the server has not answered since its first transmission
+ * @server: the server
+ * @now_ms: current time, ms
+ *
+ * Return: true for CM_DATA_STALL_TTL_MS after the retransmission.
+ */
+bool cm_steer_gone_is_stalled(const struct cm_steer_server *server,
+			      uint64_t now_ms);
+
+/**
+ * cm_steer_gone_record_packet() - record a packet of an open flow
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ * @packet: the packet
+ * @server: the server that the packet's token identifies
+ */
+void cm_steer_gone_record_packet(struct cm_steer *steer, uint64_t now_ms,
+				 const struct cm_steer_packet *packet,
+				 struct cm_steer_server *server);
+
+/**
+ * cm_steer_gone_list_stalled() - list the servers to which data was
+ * retransmitted; see cm_steer_list_stalled_servers()
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ * @silent: servers that do not answer SYNs; may be extended
+ * @stalled: initially empty; set to the servers
+ */
+void cm_steer_gone_list_stalled(struct cm_steer *steer, uint64_t now_ms,
+				struct cm_message_tokens *silent,
+				struct cm_message_tokens *stalled);
+
 /**
  * cm_steer_gone_check() - whether to reset an open flow as its server is gone
  * @steer: the instance; its lock is held
--- a/include/chervilmast/steer_packet.h
+++ b/include/chervilmast/steer_packet.h
@@ -29,6 +29,7 @@
  * @flags: CM_STEER_SYN, CM_STEER_ACK, CM_STEER_FIN and CM_STEER_RST bits
  * @repeats: number of earlier SYNs of this flow, as the packet states it
  * @data_length: bytes of data
+ * @seq: number of the first byte of data
  * @ack: number of the next byte that the caller expects; valid with
  *       CM_STEER_ACK
  * @waited_ms: upper bound of the time that the packet spent in the receive
@@ -42,6 +43,7 @@
 	uint8_t flags;
 	uint32_t repeats;
 	uint32_t data_length;
+	uint32_t seq;
 	uint32_t ack;
 	uint32_t waited_ms;
 	uint32_t held_ms;
--- a/include/chervilmast/steer_report.h
+++ b/include/chervilmast/steer_report.h
@@ -27,6 +27,39 @@
 uint32_t cm_steer_list_silent_servers(struct cm_steer *steer, uint64_t now_ms,
 				      uint32_t *tokens, uint32_t max);
 
+/**
+ * cm_steer_list_stalled_servers() - list the servers to which callers of this
+ * instance retransmitted data
+ * @steer: the instance
+ * @now_ms: current time, ms
+ * @silent: servers that do not answer this instance's SYNs; those that the
+ *          source suspects and for which the data is this instance's
+ *          observation are added
+ * @stalled: set to those of @silent that have not answered since the data was
+ *           sent
+ */
+void cm_steer_list_stalled_servers(struct cm_steer *steer, uint64_t now_ms,
+				   struct cm_message_tokens *silent,
+				   struct cm_message_tokens *stalled);
+
+/**
+ * cm_steer_apply_down() - apply the list of servers that are down
+ * @steer: the instance
+ * @requested_ms: when the list was requested from the source, ms
+ * @servers: the servers
+ */
+void cm_steer_apply_down(struct cm_steer *steer, uint64_t requested_ms,
+			 const struct cm_message_tokens *servers);
+
+/**
+ * cm_steer_take_new_silent() - whether a server was newly found silent since
+ * the last call
+ * @steer: the instance
+ *
+ * Return: true when the source should be told at once.
+ */
+bool cm_steer_take_new_silent(struct cm_steer *steer);
+
 /**
  * cm_steer_apply_reports() - apply other instances' reports of silent servers
  * @steer: the instance
--- a/include/chervilmast/steer_server.h
+++ b/include/chervilmast/steer_server.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
+#include "chervilmast/data_watch.h"
 #include "chervilmast/flow_key.h"
 #include "chervilmast/note.h"
 #include "chervilmast/server_health.h"
@@ -76,6 +77,9 @@
  *              until their end or until the SYN counts as unanswered
  * @choice_seq: sequence number of the last choice of the server
  * @health: health as this instance observes it
+ * @watch: data that the server may not have acknowledged
+ * @observations: number of observations by which it was silent at the last
+ * tick, to be reported to the source
  * @by_token: link in the bucket of its token
  * @by_id: link in the bucket of its id
  * @link: link in the list of all servers
@@ -102,6 +106,8 @@
 	uint32_t open_flows;
 	uint64_t choice_seq;
 	struct cm_server_health health;
+	struct cm_data_watch watch;
+	uint32_t observations;
 	LIST_ENTRY(cm_steer_server) by_token;
 	LIST_ENTRY(cm_steer_server) by_id;
 	TAILQ_ENTRY(cm_steer_server) link;
--- a/src/adapters/message_items.c
+++ b/src/adapters/message_items.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "chervilmast/error.h"
+#include "chervilmast/token_marks.h"
 #include "message_internal.h"
 #include "message_reader.h"
 
@@ -15,6 +16,16 @@
 			(uint32_t)cm_reader_number(&list, UINT32_MAX);
 }
 
+/* Marks are optional; an instance of an earlier version writes none. */
+static void get_marked_tokens(struct cm_reader *reader,
+			      struct cm_message_tokens *tokens,
+			      struct cm_message_tokens *marked)
+{
+	get_tokens(reader, tokens);
+	if (!*reader->error)
+		cm_token_marks_take(tokens, marked);
+}
+
 void cm_message_read_items_request(struct cm_reader *outer,
 				   struct cm_message *message)
 {
@@ -28,7 +39,8 @@
 		cm_reader_number(&reader, UINT64_MAX);
 	message->items_request.requested_ms =
 		cm_reader_number(&reader, UINT64_MAX);
-	get_tokens(&reader, &message->items_request.suspects);
+	get_marked_tokens(&reader, &message->items_request.suspects,
+			  &message->items_request.stalled);
 	get_tokens(&reader, &message->items_request.failures);
 	get_tokens(&reader, &message->items_request.successes);
 }
@@ -76,6 +88,6 @@
 		cm_reader_fail(&reader, error);
 	for (uint32_t i = 0; i < body->count && !*reader.error; i++)
 		get_item(&list, &body->items[i]);
-	get_tokens(&reader, &body->suspects);
+	get_marked_tokens(&reader, &body->suspects, &body->down);
 	get_tokens(&reader, &body->ejected);
 }
--- a/src/adapters/message_msgpack.c
+++ b/src/adapters/message_msgpack.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "chervilmast/error.h"
+#include "chervilmast/token_marks.h"
 #include "message_internal.h"
 #include "msgpack_map.h"
 
@@ -173,6 +174,16 @@
 		msgpack_pack_uint64(packer, tokens->tokens[i]);
 }
 
+static void put_marked_tokens(msgpack_packer *packer,
+			      const struct cm_message_tokens *tokens,
+			      const struct cm_message_tokens *marked)
+{
+	struct cm_message_tokens list = *tokens;
+
+	cm_token_marks_add(&list, marked);
+	put_tokens(packer, &list);
+}
+
 static void put_items_request(msgpack_packer *packer,
 			      const struct cm_message *message)
 {
@@ -182,7 +193,8 @@
 	msgpack_pack_uint64(packer,
 			    message->items_request.snapshot_incarnation);
 	msgpack_pack_uint64(packer, message->items_request.requested_ms);
-	put_tokens(packer, &message->items_request.suspects);
+	put_marked_tokens(packer, &message->items_request.suspects,
+			  &message->items_request.stalled);
 	put_tokens(packer, &message->items_request.failures);
 	put_tokens(packer, &message->items_request.successes);
 }
@@ -209,7 +221,7 @@
 		msgpack_pack_uint64(packer, item->revision);
 		msgpack_pack_uint64(packer, item->is_deleted);
 	}
-	put_tokens(packer, &body->suspects);
+	put_marked_tokens(packer, &body->suspects, &body->down);
 	put_tokens(packer, &body->ejected);
 }
 
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -442,6 +442,7 @@
 		return;
 	}
 	update_flow(steer, now_ms, packet, server);
+	cm_steer_gone_record_packet(steer, now_ms, packet, server);
 	if (cm_steer_gone_check(steer, now_ms, packet, server, &evidence)) {
 		reset_gone_flow(steer, now_ms, packet, server, &evidence,
 				verdict);
--- a/src/core/steer_gone.c
+++ b/src/core/steer_gone.c
@@ -1,5 +1,6 @@
 #include "chervilmast/steer_gone.h"
 
+#include "chervilmast/suspect_list.h"
 #include "steer_internal.h"
 #include "test_switch.h"
 
@@ -88,7 +89,8 @@
 }
 
 /*
- * Evidence from the registry; valid only while its data can be relied on. A
+ * Evidence from the registry; valid only while the registry is reachable and no
+ * grace period after an outage is running. A
  * server that has lost its connection to the registry only still answers
  * callers.
  */
@@ -112,16 +114,181 @@
 	return removal_is_certain(steer, server);
 }
 
+static const uint64_t *find_down_since(const struct cm_steer_down *down,
+				       uint32_t token)
+{
+	for (uint32_t i = 0; i < down->servers.count; i++)
+		if (down->servers.tokens[i] == token)
+			return &down->since_ms[i];
+	return NULL;
+}
+
+void cm_steer_gone_apply_down(struct cm_steer_gone *gone, uint64_t requested_ms,
+			      const struct cm_message_tokens *servers)
+{
+	struct cm_steer_down before = gone->down;
+	struct cm_steer_down *down = &gone->down;
+
+	if (requested_ms < before.requested_ms)
+		return;
+	if (requested_ms >= before.requested_ms + CM_SUSPECT_TTL_MS)
+		before.servers.count = 0;
+	down->servers = *servers;
+	down->requested_ms = requested_ms;
+	for (uint32_t i = 0; i < servers->count; i++) {
+		const uint64_t *since_ms =
+			find_down_since(&before, servers->tokens[i]);
+
+		down->since_ms[i] = since_ms ? *since_ms : requested_ms;
+	}
+}
+
+/* As has_answered_since(); an answer to a probe counts too. */
+static bool was_reached_since(const struct cm_steer_server *server,
+			      uint64_t since_ms)
+{
+	return has_answered_since(server, since_ms) ||
+	       server->health.reached_ms > since_ms;
+}
+
+bool cm_steer_gone_is_stalled(const struct cm_steer_server *server,
+			      uint64_t now_ms)
+{
+	return cm_data_watch_is_stalled(&server->watch, now_ms) &&
+	       !was_reached_since(server, server->watch.stalled_from_ms);
+}
+
+static bool contains(const struct cm_message_tokens *list, uint32_t token)
+{
+	for (uint32_t i = 0; i < list->count; i++)
+		if (list->tokens[i] == token)
+			return true;
+	return false;
+}
+
+static void append(struct cm_message_tokens *list, uint32_t token)
+{
+	if (list->count < CM_MESSAGE_TOKENS_MAX)
+		list->tokens[list->count++] = token;
+}
+
+void cm_steer_gone_record_packet(struct cm_steer *steer, uint64_t now_ms,
+				 const struct cm_steer_packet *packet,
+				 struct cm_steer_server *server)
+{
+	struct cm_steer_gone *gone = &steer->gone;
+
+	if (cm_data_watch_packet(&server->watch, now_ms, packet))
+		server->acked_ms = now_ms;
+	if (server->watch.stalled_ms != now_ms)
+		return;
+	if (now_ms < server->health.reported_until_ms)
+		gone->has_new_silent = true;
+	if (!contains(&gone->stalled, server->token))
+		append(&gone->stalled, server->token);
+}
+
+void cm_steer_gone_list_stalled(struct cm_steer *steer, uint64_t now_ms,
+				struct cm_message_tokens *silent,
+				struct cm_message_tokens *stalled)
+{
+	struct cm_message_tokens before = steer->gone.stalled;
+
+	steer->gone.stalled.count = 0;
+	for (uint32_t i = 0; i < before.count; i++) {
+		uint32_t token = before.tokens[i];
+		const struct cm_steer_server *server =
+			cm_steer_servers_find_by_token(&steer->servers, token);
+
+		if (!server || server->listing == CM_LEFT ||
+		    !cm_steer_gone_is_stalled(server, now_ms))
+			continue;
+		append(&steer->gone.stalled, token);
+		if (!contains(silent, token) &&
+		    now_ms < server->health.reported_until_ms)
+			append(silent, token);
+		if (contains(silent, token))
+			append(stalled, token);
+	}
+}
+
+/*
+ * Whether the source lists the server as down. A caller has retransmitted data
+ * to it, so that it has not answered since CM_DATA_STALL_MS before the
+ * list was first requested; an answer after that disproves the list.
+ */
+static bool is_down(const struct cm_steer *steer, uint64_t now_ms,
+		    const struct cm_steer_server *server, uint64_t *since_ms)
+{
+	const struct cm_steer_down *down = &steer->gone.down;
+	const uint64_t *listed_ms;
+
+	if (!down->servers.count ||
+	    now_ms >= down->requested_ms + CM_SUSPECT_TTL_MS)
+		return false;
+	listed_ms = find_down_since(down, server->token);
+	if (!listed_ms)
+		return false;
+	*since_ms = *listed_ms;
+	return !was_reached_since(server, *listed_ms - CM_DATA_STALL_MS);
+}
+
+/*
+ * Whether the server is silent by an observation other than that of data: it
+ * left a SYN of this instance and a probe unanswered, the source suspects it,
+ * or its entry was removed while those of most other servers stayed.
+ */
+static bool seems_silent(struct cm_steer *steer, uint64_t now_ms,
+			 const struct cm_steer_server *server)
+{
+	const struct cm_server_health *health = &server->health;
+
+	if (cm_server_health_is_silent(health, now_ms) &&
+	    !has_answered_since(server, health->unanswered_ms))
+		return true;
+	if (now_ms < health->reported_until_ms)
+		return true;
+	return server->listing == CM_LEFT &&
+	       !cm_steer_may_have_lapsed(steer, now_ms) &&
+	       domain_is_listed(steer, server->domain_hash);
+}
+
 /*
- * Whether the copy of the registry can be relied on to conclude that a server
- * is gone: it is fresh and was renewed since the last pause, the registry is
- * reachable, and no grace period after an outage is running.
+ * Whether a request of the flow may be executed twice, so that its caller
+ * retries it after a reset. For other flows a reset gains nothing.
  */
-static bool registry_is_reliable(const struct cm_steer *steer, uint64_t now_ms)
+static bool is_repeatable(const struct cm_steer *steer,
+			  const struct cm_steer_packet *packet)
+{
+	const struct cm_plan_route *route =
+		cm_steer_plan_find_route(&steer->plan, &packet->key.service);
+
+	return route && cm_route_is_repeatable(&route->traits);
+}
+
+/* Evidence from two independent observations of the server. */
+static bool check_observed(struct cm_steer *steer, uint64_t now_ms,
+			   const struct cm_steer_packet *packet,
+			   const struct cm_steer_server *server,
+			   struct cm_steer_gone_evidence *evidence)
+{
+	if (cm_switched_off(CM_SWITCH_GONE_OBSERVED))
+		return false;
+	evidence->reason = CM_C_STEER_GONE_DOWN;
+	if (is_down(steer, now_ms, server, &evidence->since_ms))
+		return is_repeatable(steer, packet);
+	evidence->reason = CM_C_STEER_GONE_SILENT;
+	evidence->since_ms = server->watch.stalled_from_ms;
+	return cm_steer_gone_is_stalled(server, now_ms) &&
+	       seems_silent(steer, now_ms, server) &&
+	       is_repeatable(steer, packet);
+}
+
+/* Whether the data was renewed since the last pause and is fresh. */
+static bool data_is_current(const struct cm_steer *steer, uint64_t now_ms)
 {
 	return cm_steer_registry_is_fresh(steer, now_ms) &&
-	       steer->registry_confirmed_ms >= steer->gone.renewed_from_ms &&
-	       !cm_steer_may_have_lapsed(steer, now_ms);
+	       steer->registry_confirmed_ms >= steer->gone.renewed_from_ms;
 }
 
 bool cm_steer_gone_check(struct cm_steer *steer, uint64_t now_ms,
@@ -131,7 +298,10 @@
 {
 	if (packet->flags & (CM_STEER_SYN | CM_STEER_RST))
 		return false;
-	if (cm_steer_is_cut_off(steer) || !registry_is_reliable(steer, now_ms))
+	if (cm_steer_is_cut_off(steer) || !data_is_current(steer, now_ms))
 		return false;
-	return check_registry(steer, server, evidence);
+	if (!cm_steer_may_have_lapsed(steer, now_ms) &&
+	    check_registry(steer, server, evidence))
+		return true;
+	return check_observed(steer, now_ms, packet, server, evidence);
 }
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -251,6 +251,32 @@
 	steer->was_ready = ready;
 }
 
+/* Number of observations by which a server is silent: SYNs and data. */
+static uint32_t count_observations(const struct cm_steer_server *server,
+				   uint64_t now_ms)
+{
+	if (!cm_server_health_is_silent(&server->health, now_ms))
+		return 0;
+	return 1 + cm_steer_gone_is_stalled(server, now_ms);
+}
+
+/*
+ * Finds servers of which there is more to report than at the last tick.
+ * Examines only the suspects, as it is called many times a second.
+ */
+static void find_new_silent(struct cm_steer *steer, uint64_t now_ms)
+{
+	struct cm_steer_server *server;
+
+	TAILQ_FOREACH (server, &steer->servers.suspects, suspect_link) {
+		uint32_t observations = count_observations(server, now_ms);
+
+		if (observations > server->observations)
+			steer->gone.has_new_silent = true;
+		server->observations = observations;
+	}
+}
+
 void cm_steer_tick(struct cm_steer *steer, uint64_t now_ms)
 {
 	pthread_mutex_lock(&steer->lock);
@@ -258,6 +284,7 @@
 	check_unanswered_syns(steer);
 	cm_steer_check_idle_flows(steer, now_ms);
 	cm_steer_end_lapses(steer, now_ms);
+	find_new_silent(steer, now_ms);
 	if (now_ms > steer->config.flow_life_ms)
 		cm_steer_servers_expire(&steer->servers,
 					now_ms - steer->config.flow_life_ms);
@@ -296,6 +323,36 @@
 	return count;
 }
 
+void cm_steer_list_stalled_servers(struct cm_steer *steer, uint64_t now_ms,
+				   struct cm_message_tokens *silent,
+				   struct cm_message_tokens *stalled)
+{
+	pthread_mutex_lock(&steer->lock);
+	stalled->count = 0;
+	if (!cm_steer_is_cut_off(steer))
+		cm_steer_gone_list_stalled(steer, now_ms, silent, stalled);
+	pthread_mutex_unlock(&steer->lock);
+}
+
+void cm_steer_apply_down(struct cm_steer *steer, uint64_t requested_ms,
+			 const struct cm_message_tokens *servers)
+{
+	pthread_mutex_lock(&steer->lock);
+	cm_steer_gone_apply_down(&steer->gone, requested_ms, servers);
+	pthread_mutex_unlock(&steer->lock);
+}
+
+bool cm_steer_take_new_silent(struct cm_steer *steer)
+{
+	bool has_new;
+
+	pthread_mutex_lock(&steer->lock);
+	has_new = steer->gone.has_new_silent;
+	steer->gone.has_new_silent = false;
+	pthread_mutex_unlock(&steer->lock);
+	return has_new;
+}
+
 void cm_steer_apply_reports(struct cm_steer *steer, uint64_t now_ms,
 			    const uint32_t *tokens, uint32_t count)
 {
--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -27,9 +27,11 @@
 	X(DEFERRED_SYN, "deferred-syn")           \
 	X(DELIVERED_ONCE, "delivered-once")       \
 	X(DOMAIN_CHECK, "domain-check")           \
+	X(DOWN_REPORTERS, "down-reporters")       \
 	X(EJECTION, "ejection")                   \
 	X(FAILING_COST, "failing-cost")           \
 	X(FAILING_SERVER, "failing-server")       \
+	X(GONE_OBSERVED, "gone-observed")         \
 	X(GONE_REGISTRY, "gone-registry")         \
 	X(HALF_OPEN_BOUND, "half-open-bound")     \
 	X(HAND_OVER, "hand-over")                 \
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -27,6 +27,8 @@
 	feed->wakeups = 0;
 	feed->wakeups_seen = 0;
 	feed->request_sent_ms = 0;
+	feed->reported_ms = 0;
+	memset(&feed->down, 0, sizeof(feed->down));
 	memset(&feed->suspects, 0, sizeof(feed->suspects));
 	memset(&feed->failures, 0, sizeof(feed->failures));
 	feed->is_registry_unreachable = false;
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -11,6 +11,7 @@
 
 #include <pthread.h>
 
+#include "chervilmast/down_list.h"
 #include "chervilmast/failure_tally.h"
 #include "chervilmast/feed_choice.h"
 #include "chervilmast/item_log.h"
@@ -61,6 +62,10 @@
  * @wakeups_seen: value of @wakeups when the last wait ended
  * @request_sent_ms: time of the last request to a source; 0 after an answer
  * @suspects: servers that instances of the failure domain suspect
+ * @down: servers that instances of the failure domain report as silent, by
+ *        reporting instance
+ * @reported_ms: when a request was last sent early because of a silent server,
+ *               ms
  * @failures: counts of the failed and successful flows that instances of the
  *            failure domain reported
  * @is_registry_unreachable: the last call to the registry failed, and no usable
@@ -91,6 +96,8 @@
 	uint32_t wakeups_seen;
 	uint64_t request_sent_ms;
 	struct cm_suspect_list suspects;
+	struct cm_down_list down;
+	uint64_t reported_ms;
 	struct cm_failure_tally failures;
 	bool is_registry_unreachable;
 	bool was_current;
@@ -258,6 +265,20 @@
  */
 void cm_feed_wake(struct cm_feed *feed);
 
+/**
+ * cm_feed_report_silent() - send the next request to the source at once, as a
+ * server was newly found silent
+ * @feed: the feed
+ * @now_ms: current time
+ *
+ * Never waits for the lock of the feed. Does nothing while this instance
+ * queries the registry itself.
+ *
+ * Return: false when the call is to be repeated: the lock is held, or the last
+ * such request was sent less than 100 ms ago.
+ */
+bool cm_feed_report_silent(struct cm_feed *feed, uint64_t now_ms);
+
 /**
  * cm_feed_make_request() - make a request to another instance
  * @feed: the feed
--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -15,6 +15,9 @@
 /** Maximum duration of a snapshot transfer, ms; shorter than the retention of
  * tombstones, so that no deletion between two parts is missed. */
 #define SNAPSHOT_TIMEOUT_MS 30000
+/** Minimum time between two requests that are sent early because of a silent
+ * server, ms; bounds the rate of requests when many servers become silent. */
+#define REPORT_INTERVAL_MS 100
 
 void cm_feed_make_request(struct cm_feed *feed, uint64_t now_ms,
 			  struct cm_message_items_request *request)
@@ -35,6 +38,8 @@
 	request->suspects.count = cm_steer_list_silent_servers(
 		feed->steer, now_ms, request->suspects.tokens,
 		CM_MESSAGE_TOKENS_MAX);
+	cm_steer_list_stalled_servers(feed->steer, now_ms, &request->suspects,
+				      &request->stalled);
 	request->failures.count =
 		cm_steer_take_failures(feed->steer, request->failures.tokens);
 	request->successes.count =
@@ -120,6 +125,21 @@
 	pthread_cond_signal(&feed->wakeup);
 }
 
+bool cm_feed_report_silent(struct cm_feed *feed, uint64_t now_ms)
+{
+	bool is_due;
+
+	if (pthread_mutex_trylock(&feed->lock))
+		return false;
+	is_due = now_ms >= feed->reported_ms + REPORT_INTERVAL_MS;
+	if (is_due && *feed->source.source_name) {
+		feed->reported_ms = now_ms;
+		wake_locked(feed);
+	}
+	pthread_mutex_unlock(&feed->lock);
+	return is_due;
+}
+
 /*
  * Age of the sender's data, including the round-trip time of the request, or
  * CM_FEED_AGE_LEAVING or CM_FEED_AGE_UNREACHABLE.
@@ -194,6 +214,7 @@
 	pthread_mutex_unlock(&feed->lock);
 	cm_steer_apply_reports(feed->steer, now_ms, items->suspects.tokens,
 			       items->suspects.count);
+	cm_steer_apply_down(feed->steer, items->requested_ms, &items->down);
 	cm_steer_eject(feed->steer, now_ms, items->ejected.tokens,
 		       items->ejected.count);
 	return error;
@@ -308,6 +329,28 @@
 	all->count = cm_suspect_list_read(&feed->suspects, now_ms, all->tokens);
 }
 
+/*
+ * Counts the instances that report each server as silent, this one included,
+ * and sets @down to the servers that are down.
+ */
+static void exchange_down(struct cm_feed *feed, uint64_t now_ms,
+			  const struct cm_message_items_request *theirs,
+			  struct cm_message_tokens *down)
+{
+	struct cm_message_tokens silent, stalled;
+
+	silent.count = cm_steer_list_silent_servers(
+		feed->steer, now_ms, silent.tokens, CM_MESSAGE_TOKENS_MAX);
+	cm_steer_list_stalled_servers(feed->steer, now_ms, &silent, &stalled);
+	cm_down_list_report(&feed->down, now_ms,
+			    cm_steer_name_hash(feed->self.name), &silent,
+			    &stalled);
+	cm_down_list_report(&feed->down, now_ms,
+			    cm_steer_name_hash(theirs->name), &theirs->suspects,
+			    &theirs->stalled);
+	cm_down_list_read(&feed->down, now_ms, down);
+}
+
 /*
  * Counts the failed and successful flows of this instance and of the requesting
  * one, and sets @ejected to the servers that are ejected.
@@ -362,8 +405,10 @@
 	items->age_ms = own_age_ms(feed, now_ms);
 	error = add_items(feed, request, items);
 	exchange_suspects(feed, now_ms, &request->suspects, &items->suspects);
+	exchange_down(feed, now_ms, request, &items->down);
 	exchange_failures(feed, now_ms, request, &items->ejected);
 	pthread_mutex_unlock(&feed->lock);
+	cm_steer_apply_down(feed->steer, now_ms, &items->down);
 	cm_steer_apply_reports(feed->steer, now_ms, request->suspects.tokens,
 			       request->suspects.count);
 	cm_steer_eject(feed->steer, now_ms, items->ejected.tokens,
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -241,8 +241,10 @@
 	if (error) {
 		cm_feed_finish(&entry->feed);
 		registry->ops->finish(registry);
+		return error;
 	}
-	return error;
+	entry->packet_loop.feed = &entry->feed;
+	return CM_OK;
 }
 
 static int start(struct steer_entry *entry)
--- a/src/daemon/steer_log.c
+++ b/src/daemon/steer_log.c
@@ -35,7 +35,9 @@
 {
 	return reason == CM_C_STEER_GONE_DRAINED ||
 	       reason == CM_C_STEER_GONE_REPLACED ||
-	       reason == CM_C_STEER_GONE_REMOVED;
+	       reason == CM_C_STEER_GONE_REMOVED ||
+	       reason == CM_C_STEER_GONE_DOWN ||
+	       reason == CM_C_STEER_GONE_SILENT;
 }
 
 /*
--- a/src/daemon/steer_loop.c
+++ b/src/daemon/steer_loop.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "chervilmast/error.h"
+#include "chervilmast/steer_report.h"
 #include "log.h"
 #include "ports/clock.h"
 #include "steer_log.h"
@@ -23,6 +24,8 @@
 	loop->ticked_ms = cm_clock_ms();
 	loop->queue_empty_ms = loop->ticked_ms;
 	loop->is_flushing = false;
+	loop->feed = NULL;
+	loop->must_report = false;
 	cm_hold_queue_init(&loop->held);
 	for (int i = 0; i < CM_STEER_PROBES_MAX; i++)
 		cm_reach_probe_init(&loop->probes[i]);
@@ -178,11 +181,22 @@
 		count_send_failures(loop, cm_udp_batch_send(&loop->batch));
 }
 
+/* Lets the source know at once of servers that are newly found silent. */
+static void report_silent(struct cm_steer_loop *loop, uint64_t now_ms)
+{
+	if (cm_steer_take_new_silent(loop->steer))
+		loop->must_report = true;
+	if (loop->feed && loop->must_report &&
+	    cm_feed_report_silent(loop->feed, now_ms))
+		loop->must_report = false;
+}
+
 static void tick(struct cm_steer_loop *loop, uint64_t now_ms)
 {
 	if (now_ms < loop->ticked_ms + TICK_INTERVAL_MS)
 		return;
 	cm_steer_tick(loop->steer, now_ms);
+	report_silent(loop, now_ms);
 	probe_servers(loop, now_ms);
 	cm_steer_log_changes(loop->steer);
 	cm_log_flush();
--- a/src/daemon/steer_loop.h
+++ b/src/daemon/steer_loop.h
@@ -10,6 +10,7 @@
 #include "adapters/reach_probe.h"
 #include "adapters/udp_batch.h"
 #include "chervilmast/steer.h"
+#include "feed.h"
 #include "hold_queue.h"
 #include "ports/fabric.h"
 
@@ -31,6 +32,8 @@
  * @queue_empty_ms: when the receive queue of the socket was last empty
  * @is_flushing: cm_steer_loop_flush() was called; packets are no longer held
  * @probes: probes in progress
+ * @feed: told of servers that are newly found silent; NULL for none
+ * @must_report: a server was newly found silent, and @feed is to be told
  */
 struct cm_steer_loop {
 	struct cm_steer *steer;
@@ -44,6 +47,8 @@
 	uint64_t queue_empty_ms;
 	bool is_flushing;
 	struct cm_reach_probe probes[CM_STEER_PROBES_MAX];
+	struct cm_feed *feed;
+	bool must_report;
 };
 
 /**
--- a/tests/unit/test_steer_gone.c
+++ b/tests/unit/test_steer_gone.c
@@ -1,5 +1,8 @@
 #include "unit/suites.h"
 
+#include <netinet/in.h>
+
+#include "chervilmast/steer_report.h"
 #include "unit/steering.h"
 
 /** Time within which all entries of a failure domain expire when it is cut off
@@ -265,3 +268,285 @@
 	cm_steer_probe_succeeded(&steering, steering_ms, token_of(2));
 	assert_reset(1, CM_C_STEER_GONE_DRAINED);
 }
+
+/* Passes a data packet of the flow of @port to server @id. */
+static struct cm_steer_verdict send_data_to(uint64_t id, uint16_t port,
+					    uint32_t seq)
+{
+	const struct cm_steer_packet packet = {
+		.key = { { 1, port, IPPROTO_TCP }, steering_route },
+		.token = token_of(id),
+		.flags = CM_STEER_ACK,
+		.data_length = 100,
+		.seq = seq,
+		.ack = 1,
+	};
+	struct cm_steer_verdict verdict;
+
+	cm_steer_packet(&steering, steering_ms, &packet, &verdict);
+	return verdict;
+}
+
+/* Sends the data of a flow and retransmits it as a caller does whose server
+ * does not answer; returns the verdict on the second retransmission. */
+static struct cm_steer_verdict send_data_thrice(uint64_t id, uint16_t port)
+{
+	struct cm_steer_verdict verdict = send_data_to(id, port, 1);
+
+	ck_assert_int_eq(verdict.action, CM_STEER_FORWARD);
+	steering_advance(200);
+	verdict = send_data_to(id, port, 1);
+	ck_assert_int_eq(verdict.action, CM_STEER_FORWARD);
+	steering_advance(400);
+	return send_data_to(id, port, 1);
+}
+
+static void make_ready_for(enum cm_route_kind kind)
+{
+	steering_make_ready(SERVERS);
+	steering.plan.routes[0].traits.kind = kind;
+}
+
+/* Makes the node find a server silent: it leaves a SYN and a probe unanswered.
+ * Returns the id of the server. */
+static uint64_t make_silent(void)
+{
+	struct cm_endpoint address;
+	struct cm_steer_verdict silent = steering_send_syn(100, 0);
+
+	steering_advance(100);
+	ck_assert_uint_eq(cm_steer_next_probe(&steering, steering_ms, &address),
+			  silent.token);
+	steering_advance(CM_HEALTH_FIRST_PROBE_TIMEOUT_MS);
+	return silent.server_id;
+}
+
+static void report(uint64_t id)
+{
+	uint32_t token = token_of(id);
+
+	cm_steer_apply_reports(&steering, steering_ms, &token, 1);
+}
+
+static void list_down(uint64_t id)
+{
+	const struct cm_message_tokens down = { { token_of(id) }, 1 };
+
+	cm_steer_apply_down(&steering, steering_ms, &down);
+}
+
+static void assert_data_forwarded(uint64_t id, uint16_t port)
+{
+	ck_assert_int_eq(send_data_to(id, port, 1).action, CM_STEER_FORWARD);
+}
+
+static void assert_data_reset(uint64_t id, uint16_t port,
+			      enum cm_counter reason)
+{
+	struct cm_steer_verdict verdict = send_data_to(id, port, 1);
+
+	ck_assert_int_eq(verdict.action, CM_STEER_RESET);
+	ck_assert_int_eq(verdict.reason, reason);
+}
+
+/* The two observations of one instance: a SYN, and the data of a flow. The
+ * other flows to the server are reset at their next packet. */
+TEST(flow_of_a_silent_server_is_reset_after_retransmissions)
+{
+	uint64_t id;
+
+	make_ready_for(CM_ROUTE_IDEMPOTENT);
+	id = make_silent();
+	assert_data_forwarded(id, 6);
+	steering_advance(800);
+	ck_assert_int_eq(send_data_thrice(id, 5).reason,
+			 CM_C_STEER_GONE_SILENT);
+	assert_data_reset(id, 6, CM_C_STEER_GONE_SILENT);
+	steering_advance(CM_DATA_STALL_TTL_MS);
+	assert_data_forwarded(id, 7);
+}
+
+/* A lost packet, or a slow response, is no second observation. */
+TEST(first_retransmission_resets_no_flow)
+{
+	uint64_t id;
+
+	make_ready_for(CM_ROUTE_IDEMPOTENT);
+	id = make_silent();
+	assert_data_forwarded(id, 5);
+	steering_advance(200);
+	assert_data_forwarded(id, 5);
+	assert_data_forwarded(id, 6);
+}
+
+/* Lost data alone does not show that the server is gone. */
+TEST(retransmissions_alone_reset_no_flow)
+{
+	make_ready_for(CM_ROUTE_IDEMPOTENT);
+	ck_assert_int_eq(send_data_thrice(1, 5).action, CM_STEER_FORWARD);
+	report(1);
+	assert_data_reset(1, 5, CM_C_STEER_GONE_SILENT);
+	assert_data_forwarded(2, 5);
+}
+
+/* A server at its maximum number of connections leaves SYNs and probes
+ * unanswered but serves its open flows. */
+TEST(answer_ends_the_evidence)
+{
+	struct cm_steer_verdict opened;
+	uint64_t id;
+
+	make_ready_for(CM_ROUTE_DOWNLOAD);
+	opened = steering_send_syn(50, 0);
+	steering_send_data(50, opened.token, 0);
+	id = opened.server_id;
+	steering_advance(400);
+	report(id);
+	ck_assert_int_eq(send_data_thrice(id, 5).reason,
+			 CM_C_STEER_GONE_SILENT);
+	list_down(id);
+	assert_data_reset(id, 5, CM_C_STEER_GONE_DOWN);
+	steering_advance(1);
+	steering_send_data(50, opened.token, STEERING_ANSWER_BYTES);
+	assert_data_forwarded(id, 5);
+}
+
+/* A request that must not run twice may have been executed; its caller does not
+ * retry it after a reset. */
+TEST(observation_resets_only_repeatable_requests)
+{
+	static const enum cm_route_kind kinds[] = { CM_ROUTE_OTHER,
+						    CM_ROUTE_NON_IDEMPOTENT,
+						    CM_ROUTE_UPLOAD };
+
+	make_ready_for(CM_ROUTE_OTHER);
+	report(1);
+	list_down(1);
+	send_data_thrice(1, 5);
+	report(1);
+	list_down(1);
+	for (int i = 0; i < COUNT_OF(kinds); i++) {
+		steering.plan.routes[0].traits.kind = kinds[i];
+		assert_data_forwarded(1, 5);
+	}
+	steering.plan.routes[0].traits.kind = CM_ROUTE_DOWNLOAD;
+	assert_data_reset(1, 5, CM_C_STEER_GONE_DOWN);
+}
+
+/* Several instances found the server down: no caller here has to wait. When the
+ * source is lost, its list expires. */
+TEST(flow_of_a_server_that_is_down_is_reset_at_once)
+{
+	const struct cm_message_tokens none = { .count = 0 };
+
+	make_ready_for(CM_ROUTE_IDEMPOTENT);
+	list_down(1);
+	assert_data_reset(1, 5, CM_C_STEER_GONE_DOWN);
+	assert_data_forwarded(2, 5);
+	steering_advance(1499);
+	assert_data_reset(1, 5, CM_C_STEER_GONE_DOWN);
+	steering_advance(1);
+	assert_data_forwarded(1, 5);
+	list_down(1);
+	assert_data_reset(1, 5, CM_C_STEER_GONE_DOWN);
+	cm_steer_apply_down(&steering, steering_ms, &none);
+	assert_data_forwarded(1, 5);
+}
+
+/* A delayed answer of the source must not replace a newer one. */
+TEST(older_list_of_servers_that_are_down_is_ignored)
+{
+	const struct cm_message_tokens down = { { token_of(1) }, 1 };
+	const struct cm_message_tokens none = { .count = 0 };
+
+	make_ready_for(CM_ROUTE_IDEMPOTENT);
+	cm_steer_apply_down(&steering, steering_ms, &none);
+	cm_steer_apply_down(&steering, steering_ms - 1, &down);
+	assert_data_forwarded(1, 5);
+}
+
+/* The limits for evidence of the registry hold for observations as well: no
+ * reset on stale data, after a pause, or while the node is cut off. */
+TEST(observation_resets_nothing_while_the_node_is_unsure)
+{
+	make_ready_for(CM_ROUTE_IDEMPOTENT);
+	steering_pause(2500);
+	steering.registry_confirmed_ms = steering_ms - 1;
+	list_down(1);
+	assert_data_forwarded(1, 5);
+	cm_steer_registry_answered(&steering, steering_ms);
+	assert_data_reset(1, 5, CM_C_STEER_GONE_DOWN);
+	steering.registry_confirmed_ms =
+		steering_ms - STEERING_REGISTRY_FRESH_MS - 1;
+	assert_data_forwarded(1, 5);
+	steering.registry_confirmed_ms = steering_ms;
+	for (uint16_t port = 10; port < 14; port++)
+		steering_send_syn(port, 0);
+	steering_advance(100);
+	list_down(1);
+	assert_data_forwarded(1, 5);
+}
+
+/* A removal without draining is one observation, retransmitted data another,
+ * so that the caller needs not wait until other entries stayed. */
+TEST(flow_of_a_removed_server_is_reset_after_retransmissions)
+{
+	make_ready_for(CM_ROUTE_IDEMPOTENT);
+	remove_server(1);
+	ck_assert_int_eq(send_data_thrice(1, 5).reason, CM_C_STEER_GONE_SILENT);
+	remove_server(2);
+	remove_server(3);
+	assert_data_forwarded(1, 5);
+}
+
+/* A newly silent server is reported to the source at once, and again when data
+ * to it was retransmitted. */
+TEST(silent_server_is_reported_at_once)
+{
+	struct cm_message_tokens silent, stalled;
+	uint64_t id;
+
+	make_ready_for(CM_ROUTE_OTHER);
+	steering_advance(25);
+	ck_assert(!cm_steer_take_new_silent(&steering));
+	id = make_silent();
+	ck_assert(cm_steer_take_new_silent(&steering));
+	steering_advance(100);
+	ck_assert(!cm_steer_take_new_silent(&steering));
+	send_data_thrice(id, 5);
+	steering_advance(25);
+	ck_assert(cm_steer_take_new_silent(&steering));
+	silent.count = cm_steer_list_silent_servers(
+		&steering, steering_ms, silent.tokens, CM_MESSAGE_TOKENS_MAX);
+	cm_steer_list_stalled_servers(&steering, steering_ms, &silent,
+				      &stalled);
+	ck_assert_uint_eq(stalled.count, 1);
+	ck_assert_uint_eq(stalled.tokens[0], token_of(id));
+}
+
+/* Other instances send no SYN to a server that the source suspects, so the data
+ * of their callers is the observation that they report. */
+TEST(retransmitted_data_to_a_suspected_server_is_reported)
+{
+	struct cm_message_tokens silent = { .count = 0 }, stalled;
+
+	make_ready_for(CM_ROUTE_OTHER);
+	send_data_thrice(1, 5);
+	cm_steer_list_stalled_servers(&steering, steering_ms, &silent,
+				      &stalled);
+	ck_assert_uint_eq(silent.count, 0);
+	report(1);
+	ck_assert(!cm_steer_take_new_silent(&steering));
+	send_data_to(1, 5, 1);
+	ck_assert(cm_steer_take_new_silent(&steering));
+	cm_steer_list_stalled_servers(&steering, steering_ms, &silent,
+				      &stalled);
+	ck_assert_uint_eq(silent.count, 1);
+	ck_assert_uint_eq(stalled.count, 1);
+	ck_assert_uint_eq(stalled.tokens[0], token_of(1));
+	silent.count = 0;
+	steering_advance(CM_DATA_STALL_TTL_MS);
+	cm_steer_list_stalled_servers(&steering, steering_ms, &silent,
+				      &stalled);
+	ck_assert_uint_eq(silent.count, 0);
+}
