Order registry data by era and revision of the store

A store that is restored from an older copy assigns its revisions again. Instances compared bare revisions, so they ignored a key that was written again at or below the revision they knew, renewed leases whose numbers may belong to another client, and took every entry that the copy lacks for removed.

Positions (era and revision in one 64-bit number) replace revisions in the registry port, so the item log, the messages between instances and the members revision order by both without a change on the wire.

Ruled out: an era field beside each revision, which would change every message between instances, and renewing the lease once to find out whether it is still ours, as its number may be in use.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -159,6 +159,8 @@
 	  "reads of the store for new release notes")                          \
 	X(STORE_RETRIES, "store_retries",                                      \
 	  "calls to the store that failed and are retried")                    \
+	X(STORE_ERA_CHANGES, "store_era_changes",                              \
+	  "times that the store came back from an older copy")                 \
 	X(NOTES_FROM_STORE, "notes_from_store",                                \
 	  "release notes and snapshots put in force from the store")           \
 	X(NOTES_FROM_PEERS, "notes_from_peers",                                \
--- a/include/chervilmast/error.h
+++ b/include/chervilmast/error.h
@@ -58,7 +58,8 @@
 	X(CM_E_OUTCOME_UNKNOWN, -39, "outcome-open")             \
 	X(CM_E_CONTRADICTION, -40, "contradicting-note")         \
 	X(CM_E_VERSION_GAP, -41, "note-before-is-missing")       \
-	X(CM_E_INTERRUPTED, -42, "interrupted")
+	X(CM_E_INTERRUPTED, -42, "interrupted")                  \
+	X(CM_E_ERA_DIFFERS, -43, "store-era-differs")
 
 /**
  * enum cm_error - reason of a failure; 0 for success
--- a/include/chervilmast/item_log.h
+++ b/include/chervilmast/item_log.h
@@ -9,6 +9,10 @@
  * one is ignored. An item that is written again with the same value gets the
  * new revision and is served again, as a receiver may have missed a change in
  * between, but it is not reported as a change at this instance.
+ *
+ * Revisions are positions (position.h). After the first snapshot of a later
+ * era, all items have positions of that era, and no changes since an earlier
+ * position are served.
  */
 #ifndef CHERVILMAST_ITEM_LOG_H
 #define CHERVILMAST_ITEM_LOG_H
@@ -135,6 +139,14 @@
  */
 void cm_item_log_keep(struct cm_item_log *log, const char *key);
 
+/**
+ * cm_item_log_keep_prefix() - record that the snapshot contains all items whose
+ * keys have a prefix, unchanged
+ * @log: the copy
+ * @prefix: the prefix
+ */
+void cm_item_log_keep_prefix(struct cm_item_log *log, const char *prefix);
+
 /**
  * cm_item_log_end_snapshot() - end a snapshot and delete the items it does not
  * contain
@@ -144,7 +156,9 @@
  * @handler: called for each item that is deleted
  * @user: passed to @handler
  *
- * An item that changed after @revision stays as it is.
+ * An item that changed after @revision stays as it is. If @revision is of a
+ * later era than the copy, items of earlier eras that are kept get @revision:
+ * their positions refer to a history that the store no longer has.
  */
 void cm_item_log_end_snapshot(struct cm_item_log *log, uint64_t revision,
 			      uint64_t now_ms, cm_item_handler handler,
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -79,10 +79,12 @@
  * struct cm_domain_out - a failure domain that is out of service
  * @name: name of the failure domain
  * @since_ms: when this instance took it out of service, ms
+ * @is_missing: the registry has lacked its entry since a change of era
  */
 struct cm_domain_out {
 	char name[CM_NAME_SIZE];
 	uint64_t since_ms;
+	bool is_missing;
 };
 
 /**
@@ -98,7 +100,8 @@
  * @registry_confirmed_ms: latest time at which the registry data was known to
  *                         be current, ms; 0 for never
  * @registry_restored_ms: time at which the first registry data after the last
- *                        outage was current, ms; 0 for no outage
+ *                        outage was current, or of the last change of era if
+ *                        that is later, ms; 0 for neither
  * @last_now_ms: latest time passed to the instance, ms
  * @active_ms: clock for timeouts: each packet or tick advances it by the time
  *             since the last one, but at most by ACTIVE_STEP_MAX_MS, so that a
@@ -266,6 +269,39 @@
 int cm_steer_set_domain_out(struct cm_steer *steer, uint64_t now_ms,
 			    const char *domain, bool is_out);
 
+/**
+ * cm_steer_hold_domain_out() - keep a failure domain out of service although
+ * the registry's entry of it is missing after a change of era
+ * @steer: the instance
+ * @domain: name of the failure domain
+ *
+ * The entry may have been lost. The domain stays out until
+ * cm_steer_take_returned_domain() returns it.
+ */
+void cm_steer_hold_domain_out(struct cm_steer *steer, const char *domain);
+
+/**
+ * cm_steer_take_returned_domain() - put a failure domain back in service whose
+ * entry is still missing after the grace period
+ * @steer: the instance
+ * @now_ms: time at which the registry's data was current, ms
+ * @domain: set to its name; room for CM_NAME_SIZE
+ *
+ * Return: false when there is none.
+ */
+bool cm_steer_take_returned_domain(struct cm_steer *steer, uint64_t now_ms,
+				   char *domain);
+
+/**
+ * cm_steer_era_changed() - record that the store came back from an older copy
+ * @steer: the instance
+ * @now_ms: current time, ms
+ *
+ * Entries may be missing until their owners have written them again, as after
+ * an outage, so the same grace period begins.
+ */
+void cm_steer_era_changed(struct cm_steer *steer, uint64_t now_ms);
+
 /**
  * cm_steer_registry_answered() - record that the registry is reachable
  * @steer: the instance
--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -4,10 +4,12 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #include "chervilmast/error.h"
 #include "ports/clock.h"
@@ -28,6 +30,7 @@
  * @timer: ends the transfer if the next part of the answer arrives too late
  * @deadline_ms: deadline for the complete answer
  * @text: body of the answer as received so far
+ * @header: value of the header that the request names; NULL for none
  * @body_started_ms: when the first part of the body arrived, ms; 0 until then
  * @status: HTTP status; 0 until it is received
  * @error: outcome, once @is_done is set
@@ -39,6 +42,7 @@
 	struct event *timer;
 	uint64_t deadline_ms;
 	GString *text;
+	GString *header;
 	uint64_t body_started_ms;
 	unsigned int status;
 	int error;
@@ -98,6 +102,27 @@
 	transfer_append(user, evhttp_request_get_input_buffer(http));
 }
 
+/* A header that occurs several times stands for the list of its values. */
+static void read_header(struct transfer *transfer, struct evhttp_request *http)
+{
+	const char *name = transfer->request->answer_header;
+	const struct evkeyvalq *headers =
+		evhttp_request_get_input_headers(http);
+	const struct evkeyval *header;
+
+	if (!name)
+		return;
+	TAILQ_FOREACH (header, headers, next) {
+		if (evutil_ascii_strcasecmp(header->key, name) != 0)
+			continue;
+		if (transfer->header)
+			g_string_append_printf(transfer->header, ", %s",
+					       header->value);
+		else
+			transfer->header = g_string_new(header->value);
+	}
+}
+
 static void on_answer(struct evhttp_request *http, void *user)
 {
 	struct transfer *transfer = user;
@@ -109,6 +134,7 @@
 	}
 	transfer_append(transfer, evhttp_request_get_input_buffer(http));
 	transfer->status = (unsigned int)status;
+	read_header(transfer, http);
 	transfer_end(transfer, CM_OK);
 }
 
@@ -253,13 +279,17 @@
 	answer->body_started_ms = transfer.body_started_ms;
 	answer->length = transfer.text->len;
 	answer->text = g_string_free(transfer.text, FALSE);
+	answer->header =
+		transfer.header ? g_string_free(transfer.header, FALSE) : NULL;
 	return error;
 }
 
 void cm_http_answer_finish(struct cm_http_answer *answer)
 {
 	g_free(answer->text);
+	g_free(answer->header);
 	answer->text = NULL;
+	answer->header = NULL;
 	answer->length = 0;
 }
 
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -47,6 +47,7 @@
  * @timeout_ms: timeout for the first part of the answer, and again for each
  *              further part, ms
  * @total_timeout_ms: timeout for the complete answer, ms; 0 for @timeout_ms
+ * @answer_header: name of a header of the answer to return, or NULL
  * @on_body: called with the body received so far whenever a part arrives;
  *           returns false to end the transfer; may be NULL
  * @user: passed to @on_body
@@ -58,6 +59,7 @@
 	const char *body_type;
 	uint32_t timeout_ms;
 	uint32_t total_timeout_ms;
+	const char *answer_header;
 	bool (*on_body)(void *user, const char *text, size_t length);
 	void *user;
 };
@@ -67,6 +69,8 @@
  * @status: HTTP status
  * @text: the body, NUL-terminated; freed by cm_http_answer_finish()
  * @length: length of @text, bytes
+ * @header: value of the header that the request names, several values joined
+ *          by ", "; NULL without one; freed by cm_http_answer_finish()
  * @body_started_ms: when the first part of the body arrived, ms; 0 without a
  *                   body
  */
@@ -74,6 +78,7 @@
 	unsigned int status;
 	char *text;
 	size_t length;
+	char *header;
 	uint64_t body_started_ms;
 };
 
--- a/src/adapters/plan_items.c
+++ b/src/adapters/plan_items.c
@@ -371,3 +371,8 @@
 	return !strncmp(key, ROUTES_KEY, strlen(ROUTES_KEY)) ||
 	       !strcmp(key, SERVICES_KEY) || !strcmp(key, CM_ROUTE_TRAITS_KEY);
 }
+
+bool cm_plan_items_has_key(const char *key)
+{
+	return cm_plan_items_is_content(key) || !strcmp(key, VERSION_KEY);
+}
--- a/src/adapters/plan_items.h
+++ b/src/adapters/plan_items.h
@@ -92,4 +92,12 @@
  */
 bool cm_plan_items_is_content(const char *key);
 
+/**
+ * cm_plan_items_has_key() - whether an item belongs to a plan
+ * @key: key of the item
+ *
+ * Return: true also for the item with the version.
+ */
+bool cm_plan_items_has_key(const char *key);
+
 #endif
--- a/src/adapters/registry_item.h
+++ b/src/adapters/registry_item.h
@@ -15,6 +15,8 @@
 #define CM_REGISTRY_KEY_SIZE 80
 /** Maximum size of a value, bytes. */
 #define CM_REGISTRY_VALUE_SIZE 256
+/** Prefix of the keys of the entries of instances. */
+#define CM_REGISTRY_ITEM_PEERS "m/"
 
 /**
  * struct cm_registry_item - an encoded item
--- a/src/core/item_log.c
+++ b/src/core/item_log.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "chervilmast/position.h"
+
 static struct cm_item_bucket *bucket_of(const struct cm_item_log *log,
 					const char *key)
 {
@@ -185,6 +187,16 @@
 		item->is_in_snapshot = true;
 }
 
+void cm_item_log_keep_prefix(struct cm_item_log *log, const char *prefix)
+{
+	size_t length = strlen(prefix);
+	struct cm_item *item;
+
+	TAILQ_FOREACH (item, &log->all, link)
+		if (!strncmp(item->key, prefix, length))
+			item->is_in_snapshot = true;
+}
+
 /**
  * struct place - position of an item in the list of all items
  * @item: the item
@@ -259,6 +271,22 @@
 	free(places);
 }
 
+static bool is_of_earlier_era(uint64_t revision, uint64_t other)
+{
+	return cm_position_era(revision) < cm_position_era(other);
+}
+
+static void enter_era(struct cm_item_log *log, uint64_t revision)
+{
+	struct cm_item *item;
+
+	TAILQ_FOREACH (item, &log->all, link)
+		if (!item->is_deleted &&
+		    is_of_earlier_era(item->revision, revision))
+			item->revision = revision;
+	log->complete_since = revision;
+}
+
 /*
  * Deleting an item moves it to the tail, so the loop ends at the item that was
  * the last one at the start.
@@ -282,6 +310,8 @@
 		}
 		item = next;
 	}
+	if (is_of_earlier_era(log->revision, revision))
+		enter_era(log, revision);
 	log->is_receiving_snapshot = false;
 	sort(log);
 	if (!log->complete_since)
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -97,10 +97,10 @@
 }
 
 /*
- * Whether an entry that is removed now may have expired because of an outage of
- * the registry.
+ * Whether the grace period after an outage or a change of era is running. An
+ * entry that is missing now may have expired or been lost with it.
  */
-static bool may_have_lapsed(const struct cm_steer *steer, uint64_t now_ms)
+static bool is_in_grace(const struct cm_steer *steer, uint64_t now_ms)
 {
 	return steer->is_registry_unreachable ||
 	       (steer->registry_restored_ms &&
@@ -113,8 +113,7 @@
 				  uint64_t now_ms)
 {
 	bool lapsed = server->listing != CM_LEFT &&
-		      !server->entry.is_draining &&
-		      may_have_lapsed(steer, now_ms);
+		      !server->entry.is_draining && is_in_grace(steer, now_ms);
 
 	cm_steer_servers_set_listing(&steer->servers, server,
 				     lapsed ? CM_LAPSED : CM_LEFT, now_ms);
@@ -169,6 +168,7 @@
 	out = &steer->domains_out[steer->domains_out_count++];
 	memcpy(out->name, domain, strlen(domain) + 1);
 	out->since_ms = now_ms;
+	out->is_missing = false;
 	return CM_OK;
 }
 
@@ -180,6 +180,8 @@
 
 	pthread_mutex_lock(&steer->lock);
 	out = cm_steer_find_domain_out(steer, domain);
+	if (out)
+		out->is_missing = false;
 	if (out && !is_out)
 		remove_domain_out(steer, out);
 	if (!out && is_out)
@@ -188,10 +190,54 @@
 	return error;
 }
 
+void cm_steer_hold_domain_out(struct cm_steer *steer, const char *domain)
+{
+	struct cm_domain_out *out;
+
+	pthread_mutex_lock(&steer->lock);
+	out = cm_steer_find_domain_out(steer, domain);
+	if (out)
+		out->is_missing = true;
+	pthread_mutex_unlock(&steer->lock);
+}
+
+static struct cm_domain_out *find_missing_domain(struct cm_steer *steer)
+{
+	for (uint32_t i = 0; i < steer->domains_out_count; i++)
+		if (steer->domains_out[i].is_missing)
+			return &steer->domains_out[i];
+	return NULL;
+}
+
+bool cm_steer_take_returned_domain(struct cm_steer *steer, uint64_t now_ms,
+				   char *domain)
+{
+	struct cm_domain_out *out = NULL;
+
+	pthread_mutex_lock(&steer->lock);
+	if (!is_in_grace(steer, now_ms))
+		out = find_missing_domain(steer);
+	if (out) {
+		memcpy(domain, out->name, sizeof(out->name));
+		remove_domain_out(steer, out);
+	}
+	pthread_mutex_unlock(&steer->lock);
+	return out;
+}
+
+void cm_steer_era_changed(struct cm_steer *steer, uint64_t now_ms)
+{
+	pthread_mutex_lock(&steer->lock);
+	if (now_ms > steer->registry_restored_ms)
+		steer->registry_restored_ms = now_ms;
+	pthread_mutex_unlock(&steer->lock);
+}
+
 void cm_steer_registry_answered(struct cm_steer *steer, uint64_t current_at_ms)
 {
 	pthread_mutex_lock(&steer->lock);
-	if (steer->is_registry_unreachable)
+	if (steer->is_registry_unreachable &&
+	    current_at_ms > steer->registry_restored_ms)
 		steer->registry_restored_ms = current_at_ms;
 	steer->is_registry_unreachable = false;
 	if (current_at_ms > steer->registry_confirmed_ms)
--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -67,6 +67,7 @@
 	X(SILENT_REPORT, "silent-report")         \
 	X(SLOW_SERVER, "slow-server")             \
 	X(STALE_ANSWER, "stale-answer")           \
+	X(STORE_ERA, "store-era")                 \
 	X(SUSPECT_DOMAIN, "suspect-domain")       \
 	X(SWAP_REVISION, "swap-revision")         \
 	X(SWEEP, "sweep")                         \
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "condition.h"
+#include "feed_era.h"
 
 void cm_feed_init(struct cm_feed *feed, struct cm_steer *steer,
 		  const struct cm_feed_config *config)
@@ -13,6 +14,7 @@
 	feed->stale_ms = config->stale_ms;
 	pthread_mutex_init(&feed->lock, NULL);
 	cm_item_log_init(&feed->items);
+	memset(&feed->era, 0, sizeof(feed->era));
 	feed->plan_version = 0;
 	feed->plan_changed = false;
 	memset(&feed->snapshot, 0, sizeof(feed->snapshot));
@@ -20,6 +22,7 @@
 	feed->read_may_be_stale = false;
 	feed->is_stale = false;
 	feed->members_revision = 0;
+	feed->members_are_restored = false;
 	feed->read_has_plan = false;
 	cm_feed_choice_init(&feed->source, config->age_max_ms);
 	memset(&feed->request_address, 0, sizeof(feed->request_address));
@@ -75,8 +78,9 @@
 	pthread_mutex_lock(&feed->lock);
 	feed->is_registry_unreachable = false;
 	feed->was_current = true;
-	pthread_mutex_unlock(&feed->lock);
 	cm_steer_registry_answered(feed->steer, data_current_ms);
+	cm_feed_return_domains(feed, data_current_ms);
+	pthread_mutex_unlock(&feed->lock);
 }
 
 void cm_feed_registry_unreachable(struct cm_feed *feed)
@@ -128,8 +132,9 @@
 
 	pthread_mutex_lock(&feed->lock);
 	cm_roster_record_request(&feed->roster, now_ms, &feed->self);
+	cm_feed_forget_earlier_members(feed);
 	is_writer =
-		feed->members_revision ?
+		feed->members_revision && !feed->members_are_restored ?
 			cm_roster_is_first(&feed->roster, feed->self.name) :
 			!cm_steer_select_source(feed->steer, feed->self.name,
 						now_ms, &feed->source, &other);
@@ -146,6 +151,7 @@
 	pthread_mutex_lock(&feed->lock);
 	cm_roster_record_request(&feed->roster, now_ms, &feed->self);
 	cm_roster_expire(&feed->roster, now_ms);
+	cm_feed_forget_earlier_members(feed);
 	if (force || cm_roster_write_is_due(&feed->roster, now_ms)) {
 		count = cm_roster_read(&feed->roster, entries);
 		feed->roster.written_ms = now_ms;
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -17,6 +17,7 @@
 #include "chervilmast/message.h"
 #include "chervilmast/roster.h"
 #include "chervilmast/steer.h"
+#include "chervilmast/store_era.h"
 #include "chervilmast/suspect_list.h"
 #include "ports/registry.h"
 
@@ -41,6 +42,7 @@
  *            because the source has not answered; 0 for never
  * @lock: guards all members below
  * @items: the items
+ * @era: latest position that was received
  * @plan_version: version of the plan in force; 0 for none
  * @plan_changed: routes or services have changed since that plan was built
  * @snapshot: snapshot that is being received from another instance
@@ -51,7 +53,10 @@
  *            can't be requested by revision and a full read has to follow
  * @members_revision: revision of the registry's entry of the members of the own
  *                    failure domain; 0 while there is none
- * @read_has_plan: the registry read in progress has returned a plan
+ * @members_are_restored: that entry comes from the older copy of a store that
+ *                        changed its era, and lists former members
+ * @read_has_plan: the registry read or snapshot in progress contains a plan
+ * that is not older than the one in force
  * @peers_buffer: buffer for a list of members
  * @source: choice of the instance to send requests to instead of the registry
  * @request_address: control address to which the last request to a source was
@@ -75,6 +80,7 @@
 	uint64_t stale_ms;
 	pthread_mutex_t lock;
 	struct cm_item_log items;
+	struct cm_store_era era;
 	uint64_t plan_version;
 	bool plan_changed;
 	struct cm_feed_snapshot snapshot;
@@ -82,6 +88,7 @@
 	bool read_may_be_stale;
 	bool is_stale;
 	uint64_t members_revision;
+	bool members_are_restored;
 	bool read_has_plan;
 	struct cm_peer_entry peers_buffer[CM_ROSTER_MAX];
 	struct cm_feed_choice source;
@@ -212,7 +219,8 @@
  * @now_ms: current time
  *
  * Return: true when this instance is the first member in the registry's entry
- * or, while there is no entry, when no other instance is selected as source.
+ * or, while there is no entry or only one from before a change of era, when no
+ * other instance is selected as source.
  */
 bool cm_feed_is_members_writer(struct cm_feed *feed, uint64_t now_ms);
 
--- a/src/daemon/feed_events.c
+++ b/src/daemon/feed_events.c
@@ -4,6 +4,7 @@
 #include "adapters/registry_item.h"
 #include "adapters/socket.h"
 #include "chervilmast/error.h"
+#include "feed_era.h"
 #include "log.h"
 #include "ports/clock.h"
 
@@ -108,12 +109,26 @@
 	       cm_error_name(error));
 }
 
+/* The entry may have been lost: the store came back from an older copy. */
+static void hold_domain_out(const struct cm_feed *feed, const char *domain)
+{
+	cm_steer_hold_domain_out(feed->steer, domain);
+	cm_log(CM_EVENT_DOMAIN,
+	       "failure_domain=%s out=1 outcome=held grace_ms=%u", domain,
+	       feed->steer->config.lapse_grace_ms);
+}
+
 static void apply_domain_out(void *user, const char *domain, bool is_out)
 {
 	const struct cm_feed *feed = user;
-	int error = cm_steer_set_domain_out(feed->steer, cm_clock_ms(), domain,
-					    is_out);
+	int error;
 
+	if (!is_out && cm_feed_is_entering_era(feed)) {
+		hold_domain_out(feed, domain);
+		return;
+	}
+	error = cm_steer_set_domain_out(feed->steer, cm_clock_ms(), domain,
+					is_out);
 	cm_log(CM_EVENT_DOMAIN, "failure_domain=%s out=%d outcome=%s", domain,
 	       is_out, cm_error_name(error));
 }
--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -2,8 +2,10 @@
 
 #include <string.h>
 
+#include "adapters/plan_items.h"
 #include "chervilmast/error.h"
 #include "chervilmast/steer_report.h"
+#include "feed_era.h"
 #include "feed_events.h"
 #include "log.h"
 #include "ports/clock.h"
@@ -71,6 +73,8 @@
 	if (items->has_more)
 		return;
 	feed->snapshot.sender_incarnation = 0;
+	if (!feed->read_has_plan)
+		cm_plan_items_keep(&feed->items);
 	cm_item_log_end_snapshot(&feed->items, items->revision, cm_clock_ms(),
 				 on_item_deleted, feed);
 	cm_feed_clear_stale(feed, items->revision);
@@ -80,10 +84,49 @@
 	       (unsigned long long)items->revision, feed->items.count);
 }
 
+/*
+ * Whether the items contain a plan with a lower version than the one in force.
+ * The sender got it from an older copy of the store; taking its items would
+ * pass the earlier plan on to instances that have none.
+ */
+static bool has_earlier_plan(struct cm_feed *feed,
+			     const struct cm_message_items *items)
+{
+	for (uint32_t i = 0; i < items->count; i++) {
+		const struct cm_item item = {
+			.key = items->items[i].key,
+			.value = items->items[i].value,
+			.size = items->items[i].size,
+			.is_deleted = items->items[i].is_deleted,
+		};
+		uint64_t version, digest;
+
+		if (cm_plan_items_version(&item, &version, &digest))
+			continue;
+		if (version < feed->plan_version)
+			return true;
+		feed->read_has_plan = true;
+	}
+	return false;
+}
+
+static void apply_all_items(struct cm_feed *feed,
+			    const struct cm_message_items *items)
+{
+	bool skips_plan = has_earlier_plan(feed, items);
+
+	if (skips_plan)
+		cm_feed_report_bad_item(feed, "plan", CM_E_STALE);
+	for (uint32_t i = 0; i < items->count; i++)
+		if (!skips_plan || !cm_plan_items_has_key(items->items[i].key))
+			apply_item(feed, &items->items[i]);
+}
+
 /*
  * While a snapshot is being received: whether the items are its next part.
  * Otherwise: whether the copy has all changes up to the revision that the items
- * follow.
+ * follow. Changes never lead from one era to another: the first copy of an era
+ * is a snapshot.
  */
 static bool is_next_part(const struct cm_feed *feed, uint64_t incarnation,
 			 const struct cm_message_items *items)
@@ -91,7 +134,10 @@
 	if (feed->snapshot.sender_incarnation)
 		return incarnation == feed->snapshot.sender_incarnation &&
 		       items->after_revision == feed->snapshot.after;
-	return !feed->is_stale && items->after_revision <= feed->items.revision;
+	return !feed->is_stale &&
+	       items->after_revision <= feed->items.revision &&
+	       cm_position_era(items->revision) ==
+		       cm_position_era(feed->items.revision);
 }
 
 static int apply_items(struct cm_feed *feed, uint64_t now_ms,
@@ -107,9 +153,10 @@
 		cm_item_log_begin_snapshot(&feed->items);
 		feed->snapshot.sender_incarnation = incarnation;
 		feed->snapshot.began_ms = now_ms;
+		feed->read_has_plan = false;
 	}
-	for (uint32_t i = 0; i < items->count; i++)
-		apply_item(feed, &items->items[i]);
+	cm_feed_observe(feed, items->revision, "instance");
+	apply_all_items(feed, items);
 	end_part(feed, incarnation, items);
 	return CM_OK;
 }
@@ -162,6 +209,7 @@
 		feed->is_registry_unreachable = false;
 		feed->was_current = true;
 		cm_steer_registry_answered(feed->steer, now_ms - age_ms);
+		cm_feed_return_domains(feed, now_ms - age_ms);
 	}
 	if (items->age_ms == CM_FEED_AGE_UNREACHABLE)
 		cm_steer_registry_unreachable(feed->steer);
@@ -256,11 +304,16 @@
 	return answer.error;
 }
 
-/* Whether the request continues a snapshot that this process began to send. */
+/*
+ * Whether the request continues a snapshot that this process began to send, in
+ * the present era.
+ */
 static bool continues_snapshot(const struct cm_feed *feed,
 			       const struct cm_message_items_request *request)
 {
-	return request->snapshot_incarnation == feed->incarnation;
+	return request->snapshot_incarnation == feed->incarnation &&
+	       cm_position_era(request->after_revision) ==
+		       cm_position_era(feed->items.revision);
 }
 
 static int add_items(struct cm_feed *feed,
--- a/src/daemon/feed_registry.c
+++ b/src/daemon/feed_registry.c
@@ -5,6 +5,7 @@
 #include "adapters/plan_items.h"
 #include "adapters/registry_item.h"
 #include "chervilmast/error.h"
+#include "feed_era.h"
 #include "feed_events.h"
 #include "log.h"
 #include "ports/clock.h"
@@ -13,6 +14,8 @@
 #define TOMBSTONE_TTL_MS 60000
 /** Minimum time between two removals of old tombstones, ms. */
 #define SWEEP_INTERVAL_MS 5000
+/** Sender of positions, for the log. */
+#define FROM_REGISTRY "registry"
 
 static void put_item(struct cm_feed *feed, const struct cm_registry_item *entry,
 		     uint64_t revision)
@@ -20,6 +23,7 @@
 	const struct cm_item *item = cm_item_log_put(
 		&feed->items, entry->key, entry->value, entry->size, revision);
 
+	cm_feed_observe(feed, revision, FROM_REGISTRY);
 	if (item)
 		cm_feed_apply(feed, item);
 }
@@ -30,6 +34,7 @@
 	const struct cm_item *item =
 		cm_item_log_remove(&feed->items, key, revision, cm_clock_ms());
 
+	cm_feed_observe(feed, revision, FROM_REGISTRY);
 	if (item)
 		cm_feed_apply(feed, item);
 }
@@ -117,6 +122,7 @@
 {
 	struct plan_item_context context = { feed, revision };
 
+	cm_feed_observe(feed, revision, FROM_REGISTRY);
 	feed->read_has_plan = true;
 	cm_plan_items_write(plan, put_plan_item, &context);
 }
@@ -159,22 +165,47 @@
 	}
 }
 
-static void on_members(void *user, const struct cm_domain_members *members,
-		       uint64_t revision)
+static void apply_members(struct cm_feed *feed,
+			  const struct cm_domain_members *members,
+			  uint64_t revision)
 {
-	struct cm_feed *feed = user;
 	struct cm_registry_item item;
 
-	pthread_mutex_lock(&feed->lock);
 	remove_missing_members(feed, members, revision);
 	for (uint32_t i = 0; i < members->count; i++) {
 		cm_registry_item_peer(&item, &members->entries[i]);
 		put_item(feed, &item, revision);
 	}
+}
+
+static bool knows_members(struct cm_feed *feed, const char *domain)
+{
+	return cm_steer_list_peers(feed->steer, domain, feed->peers_buffer, 1);
+}
+
+/*
+ * While the first snapshot of a later era is read, the entry comes from an
+ * older copy of the store, and the members in this copy of the registry are
+ * more recent. Only the entry's revision is used, to replace the entry.
+ */
+static void on_members(void *user, const struct cm_domain_members *members,
+		       uint64_t revision)
+{
+	struct cm_feed *feed = user;
+	bool is_restored;
+
+	pthread_mutex_lock(&feed->lock);
+	cm_feed_observe(feed, revision, FROM_REGISTRY);
+	is_restored = cm_feed_is_entering_era(feed) &&
+		      knows_members(feed, members->domain);
+	if (!is_restored)
+		apply_members(feed, members, revision);
 	if (!strcmp(members->domain, feed->self.domain) &&
 	    revision > feed->members_revision) {
 		feed->members_revision = revision;
-		cm_roster_load(&feed->roster, cm_clock_ms(), members);
+		feed->members_are_restored = is_restored;
+		cm_roster_load(&feed->roster, cm_clock_ms(),
+			       is_restored ? NULL : members);
 	}
 	pthread_mutex_unlock(&feed->lock);
 }
@@ -225,12 +256,27 @@
 	}
 }
 
+static void on_read_restarted(void *user, uint64_t revision)
+{
+	struct cm_feed *feed = user;
+
+	pthread_mutex_lock(&feed->lock);
+	cm_feed_observe(feed, revision, FROM_REGISTRY);
+	feed->read_has_plan = false;
+	if (feed->items.is_receiving_snapshot)
+		cm_item_log_begin_snapshot(&feed->items);
+	pthread_mutex_unlock(&feed->lock);
+}
+
 static void on_snapshot_end(void *user, uint64_t revision)
 {
 	struct cm_feed *feed = user;
 
 	pthread_mutex_lock(&feed->lock);
+	cm_feed_observe(feed, revision, FROM_REGISTRY);
 	keep_members(feed);
+	if (cm_feed_is_entering_era(feed))
+		cm_item_log_keep_prefix(&feed->items, CM_REGISTRY_ITEM_PEERS);
 	if (!feed->read_has_plan)
 		cm_plan_items_keep(&feed->items);
 	cm_item_log_end_snapshot(&feed->items, revision, cm_clock_ms(),
@@ -253,6 +299,7 @@
 	uint64_t now_ms = cm_clock_ms();
 
 	pthread_mutex_lock(&feed->lock);
+	cm_feed_observe(feed, revision, FROM_REGISTRY);
 	/* Stops receiving a snapshot from another instance. */
 	feed->snapshot.sender_incarnation = 0;
 	cm_item_log_cancel_snapshot(&feed->items);
@@ -276,6 +323,7 @@
 		.members = on_members,
 		.members_removed = on_members_removed,
 		.bad_item = on_bad_item,
+		.restarted = on_read_restarted,
 		.complete_up_to =
 			is_full_read ? on_snapshot_end : on_changes_end,
 		.user = feed,
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -85,6 +85,8 @@
 	  "the registry entry of a backend server was removed")                \
 	X(STARTED, INFO, "started", "the instance takes packets")              \
 	X(STOPPED, INFO, "stopped", "the instance has shut down")              \
+	X(STORE_ERA, WARNING, "store_era",                                     \
+	  "the store came back from an older copy; all data is read anew")     \
 	X(STORE_REACHABLE, INFO, "store_reachable", "the store answers again") \
 	X(STORE_UNREACHABLE, WARNING, "store_unreachable",                     \
 	  "the store does not answer")
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -116,7 +116,7 @@
 	return error;
 }
 
-static int wait_for_changes(struct cm_registry_loop *loop, uint64_t after)
+static int wait_for_changes(struct cm_registry_loop *loop, cm_position after)
 {
 	const struct cm_registry_sink sink = cm_feed_sink(loop->feed, false);
 	uint64_t begin_ms = cm_clock_ms();
@@ -148,16 +148,26 @@
 static void clear_expired_lease(struct cm_registry_loop *loop, int error)
 {
 	if (error == CM_E_NOT_FOUND)
-		loop->lease = 0;
+		loop->lease.id = 0;
+}
+
+/*
+ * A lease of an earlier era is gone, and its number may belong to another
+ * client. Without a lease, the members entry is written again at once.
+ */
+static void clear_earlier_lease(struct cm_registry_loop *loop)
+{
+	if (loop->lease.era < loop->registry->era)
+		loop->lease.id = 0;
 }
 
 static void renew_lease(struct cm_registry_loop *loop, uint64_t now_ms)
 {
 	int error;
 
-	if (!loop->lease || now_ms < loop->next_lease_renewal_ms)
+	if (!loop->lease.id || now_ms < loop->next_lease_renewal_ms)
 		return;
-	error = loop->registry->ops->renew_lease(loop->registry, loop->lease);
+	error = loop->registry->ops->renew_lease(loop->registry, &loop->lease);
 	record_duration(loop, CM_H_STORE_ENTRY, now_ms);
 	if (!error)
 		loop->next_lease_renewal_ms =
@@ -172,7 +182,7 @@
 	const struct cm_registry_ops *ops = loop->registry->ops;
 	int error = CM_OK;
 
-	if (!loop->lease)
+	if (!loop->lease.id)
 		error = ops->grant_lease(loop->registry, &loop->lease);
 	write->lease = loop->lease;
 	if (!error)
@@ -188,7 +198,7 @@
 	int error;
 
 	write.members.count = cm_feed_take_due_members(
-		loop->feed, now_ms, !loop->lease, entries, &write.revision);
+		loop->feed, now_ms, !loop->lease.id, entries, &write.revision);
 	if (!write.members.count)
 		return;
 	memcpy(write.members.domain, loop->settings->domain,
@@ -214,6 +224,7 @@
 	if (!loop->was_answered ||
 	    !cm_feed_is_members_writer(loop->feed, now_ms))
 		return;
+	clear_earlier_lease(loop);
 	renew_lease(loop, now_ms);
 	write_due_members(loop, now_ms);
 }
@@ -316,12 +327,25 @@
 	return pause < PAUSE_MAX_MS ? (uint32_t)pause : PAUSE_MAX_MS;
 }
 
+/*
+ * The era of the copy may be later than that of the last answer of the
+ * registry, as changes also come from the source.
+ */
+static void raise_era(struct cm_registry_loop *loop)
+{
+	uint64_t era = cm_position_era(cm_feed_revision(loop->feed));
+
+	if (era > loop->registry->era)
+		loop->registry->era = era;
+}
+
 /* Return: pause until the next step, ms. */
 static uint32_t run_registry_step(struct cm_registry_loop *loop)
 {
 	int error = CM_OK;
 	uint32_t pause;
 
+	raise_era(loop);
 	if (!cm_feed_revision(loop->feed))
 		return run_first_step(loop);
 	if (!has_members(loop)) {
--- a/src/daemon/registry_loop.h
+++ b/src/daemon/registry_loop.h
@@ -22,7 +22,7 @@
  * @registry: the registry
  * @settings: settings of the process
  * @wait_ms: maximum wait for changes in one call
- * @lease: lease of the members entry that this instance wrote; 0 for none
+ * @lease: lease of the members entry that this instance wrote; id 0 for none
  * @next_lease_renewal_ms: when the lease has to be renewed
  * @data_current_ms: time at which the data of the last answer was certainly
  *                   current
@@ -45,7 +45,7 @@
 	struct cm_registry *registry;
 	const struct cm_steer_settings *settings;
 	uint32_t wait_ms;
-	uint64_t lease;
+	struct cm_registry_lease lease;
 	uint64_t next_lease_renewal_ms;
 	uint64_t data_current_ms;
 	bool is_reachable;
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -12,14 +12,15 @@
 #define KEYS_MAX 64
 #define URL_SIZE 64
 
-/* Changes that the store returned, in the order received, and the revision up
- * to which they are complete. */
+/* Changes that the store returned, in the order received, the revision up to
+ * which they are complete, and how often a read started again. */
 static struct {
 	char keys[KEYS_MAX][32];
 	char values[KEYS_MAX][64];
 	bool is_removed[KEYS_MAX];
 	uint64_t revisions[KEYS_MAX];
 	int count;
+	int restarts;
 	uint64_t reached;
 } received;
 
@@ -49,9 +50,19 @@
 	received.reached = revision;
 }
 
+/* The items delivered before the restart don't count. */
+static void record_restart(void *user, uint64_t revision)
+{
+	(void)user;
+	(void)revision;
+	received.restarts++;
+	received.count = 0;
+}
+
 static const struct platform_store_sink sink = {
 	.put = record_put,
 	.remove = record_remove,
+	.restarted = record_restart,
 	.complete_up_to = record_reached,
 };
 
@@ -179,7 +190,8 @@
 	ASSERT_OK(platform_store_read(&store, "", false, &sink));
 }
 
-static int swap(const char *key, uint64_t revision, uint64_t lease)
+static int swap(const char *key, cm_position revision,
+		struct cm_registry_lease lease)
 {
 	const msgpack_sbuffer value = { .data = "\x80", .size = 1 };
 	const struct platform_swap write = { key, revision, &value, lease };
@@ -189,16 +201,16 @@
 
 TEST(entry_is_kept_until_its_lease_ends)
 {
-	uint64_t lease = 0;
+	struct cm_registry_lease lease = { 0 };
 
 	ASSERT_OK(platform_store_grant_lease(&store, 10000, &lease));
-	ck_assert_uint_ne(lease, 0);
+	ck_assert_uint_ne(lease.id, 0);
 	ASSERT_OK(swap("i/a", 0, lease));
-	ASSERT_OK(platform_store_renew_lease(&store, lease));
+	ASSERT_OK(platform_store_renew_lease(&store, &lease));
 	ASSERT_OK(platform_store_read(&store, "", false, &sink));
 	ck_assert_str_eq(received.keys[0], "i/a");
 	platform_standin_expire_leases(&standin);
-	ck_assert_int_eq(platform_store_renew_lease(&store, lease),
+	ck_assert_int_eq(platform_store_renew_lease(&store, &lease),
 			 CM_E_NOT_FOUND);
 	ck_assert_int_eq(swap("i/a", received.revisions[0], lease),
 			 CM_E_NOT_FOUND);
@@ -208,7 +220,7 @@
  * current value, so that the node has what the other writer wrote. */
 TEST(failed_swap_returns_the_current_value)
 {
-	uint64_t lease;
+	struct cm_registry_lease lease;
 
 	ASSERT_OK(platform_store_grant_lease(&store, 10000, &lease));
 	platform_standin_put(&standin, "i/a", "7");
@@ -247,13 +259,14 @@
 
 TEST(write_with_a_lost_answer_fails)
 {
-	uint64_t lease = 0;
+	struct cm_registry_lease lease = { 0 };
 
 	platform_standin_set_fault(&standin, PLATFORM_FAULT_ANSWER_LOST);
 	ck_assert_int_eq(platform_store_grant_lease(&store, 10000, &lease),
 			 CM_E_UNAVAILABLE);
-	ck_assert_uint_eq(lease, 0);
-	ck_assert_int_eq(swap("i/a", 0, 1), CM_E_UNAVAILABLE);
+	ck_assert_uint_eq(lease.id, 0);
+	lease.id = 1;
+	ck_assert_int_eq(swap("i/a", 0, lease), CM_E_UNAVAILABLE);
 }
 
 TEST(call_in_progress_can_be_interrupted)
--- a/tests/unit/test_registry_loop.c
+++ b/tests/unit/test_registry_loop.c
@@ -110,14 +110,16 @@
 	return CM_E_UNAVAILABLE;
 }
 
-static int fake_grant_lease(struct cm_registry *base, uint64_t *lease)
+static int fake_grant_lease(struct cm_registry *base,
+			    struct cm_registry_lease *lease)
 {
-	(void)base;
-	*lease = 1;
+	lease->id = 1;
+	lease->era = base->era;
 	return CM_OK;
 }
 
-static int fake_keep_lease(struct cm_registry *base, uint64_t lease)
+static int fake_keep_lease(struct cm_registry *base,
+			   const struct cm_registry_lease *lease)
 {
 	(void)base;
 	(void)lease;
