--- a/tests/standin/platform_lease.c
+++ b/tests/standin/platform_lease.c
@@ -21,16 +21,23 @@
 
 	lease->id = FIRST_LEASE_ID + leases->granted_count++;
 	lease->ttl_ms = ttl_ms;
+	lease->is_foreign = false;
 	lease->expiry_ms = cm_clock_ms() + (uint64_t)ttl_ms;
 	return lease->id;
 }
 
+void platform_lease_grant_foreign(struct platform_leases *leases, int ttl_ms)
+{
+	find(leases, platform_lease_grant(leases, ttl_ms))->is_foreign = true;
+}
+
 int platform_lease_renew(struct platform_leases *leases, int64_t id)
 {
 	struct platform_lease *lease = find(leases, id);
 
 	if (!lease)
 		return 0;
+	leases->foreign_renewals += lease->is_foreign;
 	lease->expiry_ms = cm_clock_ms() + (uint64_t)lease->ttl_ms;
 	return lease->ttl_ms;
 }
--- a/tests/standin/platform_lease.h
+++ b/tests/standin/platform_lease.h
@@ -17,26 +17,33 @@
  * @id: its ID; 0 for an unused entry or after it has expired
  * @ttl_ms: time to live after it was granted or renewed, ms
  * @expiry_ms: time when it expires, ms
+ * @is_foreign: it belongs to another client than the instances
  */
 struct platform_lease {
 	int64_t id;
 	int ttl_ms;
 	uint64_t expiry_ms;
+	bool is_foreign;
 };
 
 /**
  * struct platform_leases - all leases
  * @items: the leases and unused entries
  * @granted_count: number of leases granted so far
+ * @foreign_renewals: number of renewals of leases of another client
  */
 struct platform_leases {
 	struct platform_lease items[PLATFORM_LEASES_MAX];
 	int64_t granted_count;
+	int foreign_renewals;
 };
 
 /** platform_lease_grant() - create a lease; returns its ID */
 int64_t platform_lease_grant(struct platform_leases *leases, int ttl_ms);
 
+/** platform_lease_grant_foreign() - create a lease of another client */
+void platform_lease_grant_foreign(struct platform_leases *leases, int ttl_ms);
+
 /** platform_lease_renew() - renew a lease; returns its time to live in ms, or 0
  * when it has expired */
 int platform_lease_renew(struct platform_leases *leases, int64_t id);
--- a/tests/standin/platform_store.c
+++ b/tests/standin/platform_store.c
@@ -21,15 +21,19 @@
 #define SLOW_PART_INTERVAL_MS 300
 #define TRICKLE_INTERVAL_MS 20
 #define STREAM_BUFFER_SIZE 4096
+#define ERA_TEXT_SIZE 32
+#define FOREIGN_LEASE_TTL_MS 600000
 
 /**
  * struct reply - HTTP response
  * @status: HTTP status
  * @body: body; NULL for an empty object
+ * @era: value of the header Store-Era; empty for none
  */
 struct reply {
 	unsigned int status;
 	json_t *body;
+	char era[ERA_TEXT_SIZE];
 };
 
 static const char *query_argument(struct MHD_Connection *connection,
@@ -104,16 +108,21 @@
 				 struct MHD_Connection *connection)
 {
 	int64_t after = atoll(query_argument(connection, "after"));
+	unsigned int era = standin->era;
 	long polls = atol(query_argument(connection, "wait-ms")) * US_PER_MS /
 		     WATCH_POLL_INTERVAL_US;
 	struct reply reply = { .status = MHD_HTTP_OK };
 
-	while (standin->kv.revision <= after && polls-- > 0 &&
-	       !standin->is_stopping) {
+	while (standin->kv.revision == after && polls-- > 0 &&
+	       standin->era == era && !standin->is_stopping) {
 		pthread_mutex_unlock(&standin->lock);
 		usleep(WATCH_POLL_INTERVAL_US);
 		pthread_mutex_lock(&standin->lock);
 	}
+	if (standin->kv.revision < after || standin->era != era) {
+		reply.status = MHD_HTTP_GONE;
+		return reply;
+	}
 	reply.body =
 		json_pack("{s:o, s:I}", "events", events_after(standin, after),
 			  "as-of", (json_int_t)standin->kv.revision);
@@ -225,15 +234,24 @@
 	return reply;
 }
 
+static void add_era(struct MHD_Response *response, const char *era)
+{
+	if (*era)
+		MHD_add_response_header(response, "Store-Era", era);
+}
+
 /* The response takes ownership of the bytes of @body and frees them. */
 static enum MHD_Result send_body(struct MHD_Connection *connection,
-				 unsigned int status, msgpack_sbuffer *body)
+				 unsigned int status, const char *era,
+				 msgpack_sbuffer *body)
 {
 	size_t size = body->size;
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 		size, msgpack_sbuffer_release(body), MHD_RESPMEM_MUST_FREE);
-	enum MHD_Result result =
-		MHD_queue_response(connection, status, response);
+	enum MHD_Result result;
+
+	add_era(response, era);
+	result = MHD_queue_response(connection, status, response);
 
 	MHD_destroy_response(response);
 	return result;
@@ -296,17 +314,20 @@
 }
 
 static enum MHD_Result send_response(struct MHD_Connection *connection,
+				     const char *era,
 				     struct MHD_Response *response)
 {
-	enum MHD_Result result =
-		MHD_queue_response(connection, MHD_HTTP_OK, response);
+	enum MHD_Result result;
+
+	add_era(response, era);
+	result = MHD_queue_response(connection, MHD_HTTP_OK, response);
 
 	MHD_destroy_response(response);
 	return result;
 }
 
 static enum MHD_Result send_parts(struct MHD_Connection *connection,
-				  msgpack_sbuffer *body)
+				  const char *era, msgpack_sbuffer *body)
 {
 	struct parts *parts = calloc(1, sizeof(*parts));
 
@@ -315,21 +336,54 @@
 	parts->length = body->size;
 	parts->bytes = msgpack_sbuffer_release(body);
 	parts->part_size = parts->length / SLOW_PART_COUNT + 1;
-	return send_response(connection,
+	return send_response(connection, era,
 			     MHD_create_response_from_callback(
 				     parts->length, STREAM_BUFFER_SIZE,
 				     read_part, parts, free_parts));
 }
 
 static enum MHD_Result send_trickle(struct MHD_Connection *connection,
+				    const char *era,
 				    struct platform_standin *standin)
 {
-	return send_response(connection,
+	return send_response(connection, era,
 			     MHD_create_response_from_callback(
 				     MHD_SIZE_UNKNOWN, STREAM_BUFFER_SIZE,
 				     read_trickle, standin, NULL));
 }
 
+/* The header names the era at the end of the call. */
+static void write_era(const struct platform_standin *standin, char *era)
+{
+	*era = '\0';
+	if (standin->era_header)
+		snprintf(era, ERA_TEXT_SIZE, "%s", standin->era_header);
+	else if (standin->era)
+		snprintf(era, ERA_TEXT_SIZE, "%u", standin->era);
+}
+
+static void go_back(struct platform_standin *standin, uint64_t ms)
+{
+	uint64_t now_ms = cm_clock_ms();
+
+	platform_history_restore(&standin->history,
+				 now_ms > ms ? now_ms - ms : 0, &standin->kv,
+				 &standin->leases);
+	standin->era++;
+}
+
+/* Handles what happens before a call: due changes of era, and a copy. */
+static void begin_call(struct platform_standin *standin)
+{
+	if (standin->calls++ && standin->era_changes) {
+		standin->era_changes--;
+		standin->era++;
+	}
+	platform_leases_expire(&standin->leases, &standin->kv, cm_clock_ms());
+	platform_history_record(&standin->history, cm_clock_ms(), &standin->kv,
+				&standin->leases);
+}
+
 static enum MHD_Result answer(struct platform_standin *standin,
 			      struct MHD_Connection *connection,
 			      const char *url, const json_t *body)
@@ -339,10 +393,11 @@
 	msgpack_sbuffer bytes;
 
 	pthread_mutex_lock(&standin->lock);
-	platform_leases_expire(&standin->leases, &standin->kv, cm_clock_ms());
+	begin_call(standin);
 	fault = standin->fault;
 	if (platform_fault_executes_calls(fault))
 		reply = route(standin, connection, url, body);
+	write_era(standin, reply.era);
 	pthread_mutex_unlock(&standin->lock);
 	if (fault == PLATFORM_FAULT_SILENT)
 		usleep(SILENT_CLOSE_DELAY_MS * US_PER_MS);
@@ -352,12 +407,12 @@
 		return MHD_NO;
 	}
 	if (fault == PLATFORM_FAULT_TRICKLE)
-		return send_trickle(connection, standin);
+		return send_trickle(connection, reply.era, standin);
 	msgpack_sbuffer_init(&bytes);
 	if (!platform_fault_executes_calls(fault)) {
 		platform_fault_body(fault, &bytes);
 		return send_body(connection, platform_fault_status(fault),
-				 &bytes);
+				 reply.era, &bytes);
 	}
 	if (reply.body)
 		fake_body_write(&bytes, reply.body);
@@ -365,8 +420,8 @@
 		fake_body_write_text(&bytes, "{}");
 	json_decref(reply.body);
 	if (fault == PLATFORM_FAULT_SLOW)
-		return send_parts(connection, &bytes);
-	return send_body(connection, reply.status, &bytes);
+		return send_parts(connection, reply.era, &bytes);
+	return send_body(connection, reply.status, reply.era, &bytes);
 }
 
 static enum MHD_Result handle_request(void *user,
@@ -438,6 +493,7 @@
 	standin->is_stopping = true;
 	pthread_mutex_unlock(&standin->lock);
 	MHD_stop_daemon(standin->server);
+	platform_history_finish(&standin->history);
 	fake_kv_finish(&standin->kv);
 	pthread_mutex_destroy(&standin->lock);
 }
@@ -477,3 +533,47 @@
 	platform_leases_expire(&standin->leases, &standin->kv, UINT64_MAX);
 	pthread_mutex_unlock(&standin->lock);
 }
+
+void platform_standin_set_era(struct platform_standin *standin,
+			      unsigned int era)
+{
+	pthread_mutex_lock(&standin->lock);
+	standin->era = era;
+	pthread_mutex_unlock(&standin->lock);
+}
+
+void platform_standin_go_back(struct platform_standin *standin, uint64_t ms)
+{
+	pthread_mutex_lock(&standin->lock);
+	go_back(standin, ms);
+	pthread_mutex_unlock(&standin->lock);
+}
+
+void platform_standin_take_leases(struct platform_standin *standin, int count)
+{
+	pthread_mutex_lock(&standin->lock);
+	for (int i = 0; i < count; i++)
+		platform_lease_grant_foreign(&standin->leases,
+					     FOREIGN_LEASE_TTL_MS);
+	pthread_mutex_unlock(&standin->lock);
+}
+
+int platform_standin_foreign_renewals(struct platform_standin *standin)
+{
+	int renewals;
+
+	pthread_mutex_lock(&standin->lock);
+	renewals = standin->leases.foreign_renewals;
+	pthread_mutex_unlock(&standin->lock);
+	return renewals;
+}
+
+uint64_t platform_standin_calls(struct platform_standin *standin)
+{
+	uint64_t calls;
+
+	pthread_mutex_lock(&standin->lock);
+	calls = standin->calls;
+	pthread_mutex_unlock(&standin->lock);
+	return calls;
+}
--- a/tests/standin/platform_store.h
+++ b/tests/standin/platform_store.h
@@ -11,6 +11,7 @@
 
 #include "fake/kv.h"
 #include "standin/platform_fault.h"
+#include "standin/platform_history.h"
 #include "standin/platform_lease.h"
 
 /**
@@ -22,6 +23,12 @@
  * @fault: how calls are handled
  * @leases: granted leases
  * @stale_reads: number of reads that allowed stale answers
+ * @calls: number of calls
+ * @era: value of the header Store-Era; 0 for none
+ * @era_header: overrides that header; NULL for no override
+ * @era_changes: number of changes of era that follow, one before each call
+ *               after the first
+ * @history: earlier copies of the store
  * @is_stopping: watches stop waiting for a change, and endless answers end
  */
 struct platform_standin {
@@ -32,6 +39,11 @@
 	enum platform_fault fault;
 	struct platform_leases leases;
 	int stale_reads;
+	uint64_t calls;
+	unsigned int era;
+	const char *era_header;
+	unsigned int era_changes;
+	struct platform_history history;
 	bool is_stopping;
 };
 
@@ -55,6 +67,35 @@
  */
 void platform_standin_expire_leases(struct platform_standin *standin);
 
+/** platform_standin_set_era() - set the era, without a loss of data */
+void platform_standin_set_era(struct platform_standin *standin,
+			      unsigned int era);
+
+/**
+ * platform_standin_go_back() - come back from an older copy
+ * @standin: the store
+ * @ms: age of the copy, ms; it may be older by PLATFORM_COPY_INTERVAL_MS
+ *
+ * The era increases by one. Writes after the copy and all leases are lost,
+ * revisions and numbers of leases are assigned again, and a watch from a
+ * revision that the store no longer has gets status 410.
+ */
+void platform_standin_go_back(struct platform_standin *standin, uint64_t ms);
+
+/**
+ * platform_standin_take_leases() - grant leases to another client
+ * @standin: the store
+ * @count: number of leases
+ */
+void platform_standin_take_leases(struct platform_standin *standin, int count);
+
+/** platform_standin_foreign_renewals() - number of renewals of the leases of
+ * another client that the instances attempted */
+int platform_standin_foreign_renewals(struct platform_standin *standin);
+
+/** platform_standin_calls() - number of calls so far */
+uint64_t platform_standin_calls(struct platform_standin *standin);
+
 /** platform_standin_set_fault() - set how calls are handled from now on */
 void platform_standin_set_fault(struct platform_standin *standin,
 				enum platform_fault fault);
