--- a/tests/unit/test_registry_loop.c
+++ b/tests/unit/test_registry_loop.c
@@ -32,6 +32,12 @@
  * @current_reads: number of reads that must not be stale
  * @stale_reads: number of reads that may be stale
  * @change_calls: number of calls for changes
+ * @era_changes_at: number of calls for changes at which the era increases; 0
+ *                  for never
+ * @writes: number of writes of the members
+ * @write_revision: expected revision of the last write
+ * @write_era: era of the lease of the last write
+ * @earlier_renewals: number of renewals of leases of an earlier era
  * @stalled_since_ms: when the stalled call began
  */
 struct fake_registry {
@@ -41,6 +47,11 @@
 	uint32_t current_reads;
 	uint32_t stale_reads;
 	uint32_t change_calls;
+	uint32_t era_changes_at;
+	uint32_t writes;
+	uint64_t write_revision;
+	uint64_t write_era;
+	uint32_t earlier_renewals;
 	uint64_t stalled_since_ms;
 };
 
@@ -51,6 +62,14 @@
 static struct cm_registry_loop loop;
 static struct cm_steer_settings settings;
 
+static uint64_t position_of(uint64_t revision)
+{
+	cm_position position;
+
+	ASSERT_OK(cm_position_compose(&position, fake.base.era, revision));
+	return position;
+}
+
 static void put_server(const struct cm_registry_sink *sink, uint64_t id)
 {
 	const struct cm_server_entry entry = {
@@ -61,7 +80,7 @@
 		.slots = 1,
 	};
 
-	sink->server(sink->user, &entry, id);
+	sink->server(sink->user, &entry, position_of(id));
 }
 
 static int fake_read(struct cm_registry *base, bool may_be_stale,
@@ -74,7 +93,7 @@
 	put_server(sink, PRESENT_ID);
 	if (may_be_stale)
 		put_server(sink, LEFT_ID);
-	sink->complete_up_to(sink->user, REVISION);
+	sink->complete_up_to(sink->user, position_of(REVISION));
 	return CM_OK;
 }
 
@@ -83,6 +102,10 @@
 {
 	(void)base;
 	ck_pr_inc_32(&fake.change_calls);
+	if (fake.change_calls == fake.era_changes_at)
+		fake.base.era++;
+	if (cm_position_era(after) < fake.base.era)
+		return CM_E_COMPACTED;
 	if (fake.stalled_since_ms)
 		return CM_E_UNAVAILABLE;
 	if (fake.stalls)
@@ -104,10 +127,15 @@
 			      const struct cm_members_write *write,
 			      const struct cm_registry_sink *sink)
 {
+	fake.write_revision = write->revision;
+	fake.write_era = write->lease.era;
+	ck_pr_inc_32(&fake.writes);
+	if (!fake.era_changes_at)
+		return CM_E_UNAVAILABLE;
+	sink->members(sink->user, &write->members,
+		      position_of(REVISION + fake.writes));
 	(void)base;
-	(void)write;
-	(void)sink;
-	return CM_E_UNAVAILABLE;
+	return CM_OK;
 }
 
 static int fake_grant_lease(struct cm_registry *base,
@@ -121,8 +149,8 @@
 static int fake_keep_lease(struct cm_registry *base,
 			   const struct cm_registry_lease *lease)
 {
-	(void)base;
-	(void)lease;
+	if (lease->era < base->era)
+		ck_pr_inc_32(&fake.earlier_renewals);
 	return CM_OK;
 }
 
@@ -241,3 +269,21 @@
 	ck_assert_uint_le(cm_steer_registry_confirmed_ms(&steer),
 			  fake.stalled_since_ms);
 }
+
+/* The store comes back from an older copy, without the leases and the members
+ * entry. The entry must be written again at once, under a lease of the new era
+ * and without the expected revision of the earlier one. */
+TEST(members_are_written_again_in_a_new_era)
+{
+	fake.era_changes_at = 3;
+	start();
+	wait_until_count(&fake.writes, 2);
+	wait_until_count(&fake.change_calls, 4);
+	ck_assert_uint_eq(fake.current_reads, 2);
+	ck_assert_uint_eq(fake.stale_reads, 0);
+	ck_assert_uint_eq(fake.write_revision, 0);
+	ck_assert_uint_eq(fake.write_era, 1);
+	ck_assert_uint_eq(fake.earlier_renewals, 0);
+	ck_assert_uint_eq(
+		cm_counters_get(&steer.counters, CM_C_STORE_ERA_CHANGES), 1);
+}
