Run a store that comes back from an older copy in the process tests

The scenario older-copy takes the store back twice while callers run: the last plan, a failure domain out of service, a server and the leases are lost, and the numbers of the leases go to another client.

--- a/tests/process/main.c
+++ b/tests/process/main.c
@@ -21,6 +21,7 @@
 #define FAULT_GAP_SPAN_MS 2200
 #define FAULT_DURATION_SPAN_MS 3500
 #define SERVED_MIN 200
+#define PLAN_VERSION 3
 
 static struct fake_random rng;
 static struct platform_standin store;
@@ -207,7 +208,7 @@
 	fault_extend(now_ms() + PROCESS_SETTLE_MS);
 }
 
-static void put_plan(void)
+void plan_put(struct platform_standin *standin, unsigned int version)
 {
 	struct sockaddr_in service = address(30, 1, 443);
 	unsigned int ip = ntohl(service.sin_addr.s_addr);
@@ -215,12 +216,12 @@
 
 	snprintf(
 		plan, sizeof(plan),
-		"{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":"
+		"{\"version\":%u,\"routes\":[{\"name\":\"r\",\"host\":"
 		"\"%u.%u.%u.%u\",\"prefix\":\"/443/\",\"service\":\"ledger\"}],"
 		"\"services\":[{\"name\":\"ledger\",\"cold-per-s\":0.0}],"
 		"\"limits\":{}}",
-		ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255);
-	platform_standin_put(&store, "op/config", plan);
+		version, ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255);
+	platform_standin_put(standin, "op/config", plan);
 }
 
 static int report(const char *seed)
@@ -250,7 +251,7 @@
 	scenario = scenario_find(argv[2]);
 	address_set_net(argc > 5 ? (unsigned int)atoi(argv[5]) : 1);
 	store_port = platform_standin_start(&store, 0);
-	put_plan();
+	plan_put(&store, PLAN_VERSION);
 	servers_start(&store);
 	callers_start(&rng);
 	if (scenario && scenario->prepare)
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -164,6 +164,13 @@
 /** servers_count_executions() - return the number of executions of a request */
 uint32_t servers_count_executions(uint32_t request);
 
+/** servers_count_opened() - return the number of flows that the servers of a
+ * failure domain, 0 for the first, have opened */
+uint32_t servers_count_opened(int domain);
+
+/** servers_register() - write the store entries of all servers again */
+void servers_register(void);
+
 /* Callers. */
 
 /** callers_start() - open the socket of the callers */
@@ -204,6 +211,9 @@
 
 /* Runs. */
 
+/** plan_put() - write a plan with a version to the store */
+void plan_put(struct platform_standin *store, unsigned int version);
+
 /** run() - run the event loop for @ms with @per_s new requests per second */
 void run(uint64_t ms, unsigned int per_s);
 
--- a/tests/process/scenario.c
+++ b/tests/process/scenario.c
@@ -1,4 +1,5 @@
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "process/process.h"
@@ -10,6 +11,23 @@
 #define FLOOD_PER_S 500
 #define FLOOD_MS 10000
 #define SLOW_START_MS 2500
+/** Failure domain that the operator takes out of service. */
+#define DOMAIN_OUT 1
+#define DOMAIN_OUT_KEY "op/evacuate/b"
+/** Version of the plan that the older copy lacks. */
+#define NEW_PLAN 4
+/** Time until the instances send no new flow to the domain, ms; they do so for
+ * 5 s after it was taken out. */
+#define DOMAIN_OUT_MS 6000
+/** Period in which calls to the store are counted, ms; several times the 2 s
+ * for which a call waits for changes, as each change ends a wait. */
+#define QUIET_MS 10000
+/** Time until what the older copy lacks is written again, ms. */
+#define WRITE_AGAIN_MS 1500
+/** Time within which the instances must agree afterwards, ms. */
+#define AGREE_MS 2000
+/** More leases than the instances hold, so that all their numbers are used. */
+#define FOREIGN_LEASES 16
 
 /* Stops one instance, drains one server and kills another instance. */
 static void play_plain(struct platform_standin *store)
@@ -76,10 +94,97 @@
 	run(MS_PER_S, REQUESTS_PER_S);
 }
 
+static void write_state(struct platform_standin *store)
+{
+	plan_put(store, NEW_PLAN);
+	platform_standin_put(store, DOMAIN_OUT_KEY, "{}");
+	servers_register();
+}
+
+static void check_plans(const char *when)
+{
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++) {
+		uint64_t version = instance_metric(i, "plan_version");
+
+		if (version != NEW_PLAN)
+			violation("instance %d has plan %llu %s", i,
+				  (unsigned long long)version, when);
+	}
+}
+
+static void check_agreement(uint64_t eras)
+{
+	uint64_t listed = instance_metric(0, "servers_listed");
+
+	check_plans("after the state was written again");
+	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++) {
+		if (instance_metric(i, "store_era_changes_total") != eras)
+			violation("instance %d did not see %llu changes of era",
+				  i, (unsigned long long)eras);
+		if (instance_metric(i, "servers_listed") != listed)
+			violation("instance %d lists other servers", i);
+	}
+}
+
+/* The store goes back by @ms; its numbers of leases go to another client. */
+static void lose_writes(struct platform_standin *store, uint64_t ms)
+{
+	platform_standin_go_back(store, ms);
+	platform_standin_take_leases(store, FOREIGN_LEASES);
+	run(WRITE_AGAIN_MS, REQUESTS_PER_S);
+	check_plans("before the state was written again");
+	write_state(store);
+	run(AGREE_MS, REQUESTS_PER_S);
+}
+
+/*
+ * Guards against instances that mix the data of a restored store with their
+ * own. The store comes back from a copy that lacks the last plan, a failure
+ * domain out of service, a server and the leases, and soon after it a second
+ * time. No request may fail, no instance may serve the plan
+ * before the last one, renew a lease of another client or send a flow to the
+ * failure domain, and the store must not get more than twice its usual calls.
+ */
+static void play_older_copy(struct platform_standin *store)
+{
+	uint64_t begin_ms = now_ms();
+	uint64_t calls;
+	uint32_t opened;
+
+	server_drain(0);
+	run(PROCESS_DRAIN_MS + MS_PER_S, REQUESTS_PER_S);
+	write_state(store);
+	run(DOMAIN_OUT_MS, REQUESTS_PER_S);
+	check_plans("before the store went back");
+	opened = servers_count_opened(DOMAIN_OUT);
+	calls = platform_standin_calls(store);
+	run(QUIET_MS, REQUESTS_PER_S);
+	calls = platform_standin_calls(store) - calls;
+	printf("calls in a quiet period: %llu\n", (unsigned long long)calls);
+	calls = platform_standin_calls(store) + 2 * calls;
+	lose_writes(store, now_ms() - begin_ms);
+	run(QUIET_MS - WRITE_AGAIN_MS - AGREE_MS, REQUESTS_PER_S);
+	printf("below twice as many after the change by: %lld\n",
+	       (long long)(calls - platform_standin_calls(store)));
+	if (platform_standin_calls(store) > calls)
+		violation("the store got more than twice its usual calls");
+	check_agreement(1);
+	lose_writes(store, AGREE_MS + WRITE_AGAIN_MS + MS_PER_S);
+	check_agreement(2);
+	if (servers_count_opened(DOMAIN_OUT) != opened)
+		violation("the failure domain out of service got %u flows",
+			  servers_count_opened(DOMAIN_OUT) - opened);
+	if (platform_standin_foreign_renewals(store))
+		violation("leases of another client were renewed");
+	if (callers_result().failed)
+		violation("%u requests failed", callers_result().failed);
+}
+
 static const struct scenario scenarios[] = {
 	{ "plain", NULL, play_plain },
 	{ "blocked-log", prepare_blocked_log, play_blocked_log },
 	{ "slow-start", NULL, play_slow_start },
+	{ "older-copy", NULL, play_older_copy },
 };
 
 const struct scenario *scenario_find(const char *name)
--- a/tests/process/server.c
+++ b/tests/process/server.c
@@ -69,6 +69,7 @@
 static struct platform_standin *store;
 static uint8_t executions[REQUESTS_MAX];
 static uint64_t last_id = 0x1000;
+static uint32_t opened[PROCESS_DOMAINS];
 
 uint32_t servers_count_executions(uint32_t request)
 {
@@ -192,6 +193,7 @@
 
 	if (!flow) {
 		check_drain(server);
+		opened[(server - servers) / PROCESS_SERVERS_PER_DOMAIN]++;
 		flow = &server->flows[server->next++ % FLOWS_MAX];
 		memset(flow, 0, sizeof(*flow));
 		flow->caller = packet->from;
@@ -310,6 +312,17 @@
 	start_server(slot);
 }
 
+uint32_t servers_count_opened(int domain)
+{
+	return opened[domain];
+}
+
+void servers_register(void)
+{
+	for (int slot = 0; slot < PROCESS_ALL_SERVERS; slot++)
+		put_store_entry(slot, servers[slot].draining_ms);
+}
+
 void servers_poll(void)
 {
 	uint64_t now = now_ms();
--- a/tests/scripts/process.sh
+++ b/tests/scripts/process.sh
@@ -42,12 +42,12 @@
 		fi
 	fi
 }
-scenarios='plain blocked-log slow-start'
+scenarios='plain blocked-log slow-start older-copy'
 for scenario in $scenarios; do
 	run 1 "$scenario"
 done
 for seed in "$@"; do
 	run "$seed" "$seconds"
 done
-echo "$((3 + $# - failed)) passed, $failed failed"
+echo "$((4 + $# - failed)) passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tests/standin/platform_history.h
+++ b/tests/standin/platform_history.h
@@ -14,7 +14,7 @@
 #include "standin/platform_lease.h"
 
 /** Number of copies; a further one replaces the oldest. */
-#define PLATFORM_COPIES_MAX 40
+#define PLATFORM_COPIES_MAX 120
 /** Minimum time between two copies, ms. */
 #define PLATFORM_COPY_INTERVAL_MS 250
 
