--- a/tests/unit/test_feed_era.c
+++ b/tests/unit/test_feed_era.c
@@ -107,10 +107,9 @@
 	cm_feed_begin_read(&source.feed, false);
 	sink.server(sink.user, &entry, at(2, REVISION));
 	sink.complete_up_to(sink.user, at(2, REVISION));
-	ck_assert_uint_eq(
-		cm_steer_servers_find_by_id(&source.steer.servers, 1)
-			->entry.slots,
-		9);
+	ck_assert_uint_eq(cm_steer_servers_find_by_id(&source.steer.servers, 1)
+				  ->entry.slots,
+			  9);
 }
 
 /* Servers that the older copy lacks are alive and register again. */
@@ -121,8 +120,7 @@
 	ck_assert_uint_eq(era_changes(&source), 1);
 	ck_assert_uint_ne(source.steer.registry_restored_ms, 0);
 	ck_assert_int_eq(listing(&source, 3), CM_LAPSED);
-	ck_assert_uint_eq(cm_feed_revision(&source.feed),
-			  at(2, COPY_REVISION));
+	ck_assert_uint_eq(cm_feed_revision(&source.feed), at(2, COPY_REVISION));
 }
 
 TEST(era_that_changes_twice_in_a_row_is_followed)
@@ -181,12 +179,11 @@
 	set_domain_out(&source, true, at(1, REVISION + 1));
 	read_servers(&source, 1, 2, at(2, COPY_REVISION));
 	ck_assert(is_domain_out(&source));
-	cm_feed_registry_answered(&source.feed,
-				  source.steer.registry_restored_ms +
-					  GRACE_MS - 1);
-	ck_assert(is_domain_out(&source));
 	cm_feed_registry_answered(
-		&source.feed, source.steer.registry_restored_ms + GRACE_MS);
+		&source.feed, source.steer.registry_restored_ms + GRACE_MS - 1);
+	ck_assert(is_domain_out(&source));
+	cm_feed_registry_answered(&source.feed,
+				  source.steer.registry_restored_ms + GRACE_MS);
 	ck_assert(!is_domain_out(&source));
 }
 
@@ -196,8 +193,8 @@
 	set_domain_out(&source, true, at(1, REVISION + 1));
 	read_servers(&source, 1, 2, at(2, COPY_REVISION));
 	set_domain_out(&source, true, at(2, COPY_REVISION + 1));
-	cm_feed_registry_answered(
-		&source.feed, source.steer.registry_restored_ms + GRACE_MS);
+	cm_feed_registry_answered(&source.feed,
+				  source.steer.registry_restored_ms + GRACE_MS);
 	ck_assert(is_domain_out(&source));
 	set_domain_out(&source, false, at(2, COPY_REVISION + 2));
 	ck_assert(!is_domain_out(&source));
--- a/tests/unit/test_store_era.c
+++ b/tests/unit/test_store_era.c
@@ -226,14 +226,14 @@
 	received.items = 0;
 	platform_standin_set_era(&standin, 2);
 	platform_standin_put(&standin, "b", "1");
-	ck_assert_int_eq(platform_store_watch(&store, received.reached,
-					      WATCH_MS, &sink),
-			 CM_E_COMPACTED);
+	ck_assert_int_eq(
+		platform_store_watch(&store, received.reached, WATCH_MS, &sink),
+		CM_E_COMPACTED);
 	ck_assert_int_eq(received.items, 0);
 	calls = platform_standin_calls(&standin);
-	ck_assert_int_eq(platform_store_watch(&store, received.reached,
-					      WATCH_MS, &sink),
-			 CM_E_COMPACTED);
+	ck_assert_int_eq(
+		platform_store_watch(&store, received.reached, WATCH_MS, &sink),
+		CM_E_COMPACTED);
 	ck_assert_uint_eq(platform_standin_calls(&standin), calls);
 }
 
@@ -245,9 +245,9 @@
 	platform_standin_put(&standin, "a", "2");
 	received.reached = (uint64_t)standin.kv.revision;
 	platform_standin_go_back(&standin, 0);
-	ck_assert_int_eq(platform_store_watch(&store, received.reached,
-					      WATCH_MS, &sink),
-			 CM_E_COMPACTED);
+	ck_assert_int_eq(
+		platform_store_watch(&store, received.reached, WATCH_MS, &sink),
+		CM_E_COMPACTED);
 	ck_assert_uint_eq(store.era, 1);
 	platform_standin_put(&standin, "a", "3");
 	ASSERT_OK(platform_store_read(&store, "", false, &sink));
