--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -212,7 +212,7 @@
 /* Runs. */
 
 /** plan_put() - write a plan with a version to the store */
-void plan_put(struct platform_standin *store, unsigned int version);
+void plan_put(struct platform_standin *standin, unsigned int version);
 
 /** run() - run the event loop for @ms with @per_s new requests per second */
 void run(uint64_t ms, unsigned int per_s);
