--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -52,11 +52,11 @@
 
 /**
  * cm_steer_may_have_lapsed() - whether entries may be missing because of an
- * outage of the registry
+ * outage of the registry or a change of its era
  * @steer: the instance; its lock is held
  * @now_ms: current time, ms
  *
- * Return: true during an outage and the grace period after it.
+ * Return: true during an outage and the grace period after it or the change.
  */
 bool cm_steer_may_have_lapsed(const struct cm_steer *steer, uint64_t now_ms);
 
