Require an observation for a server removed without draining

Cause: a server that is cut off from the registry alone loses its entry while it serves its flows.

Change: the removal counts when an observation agrees: data to the server was retransmitted once or more at this instance, or it left a SYN and a probe unanswered, or the source lists it. Draining and replaced servers need none.

Ruled out: waiting for the second retransmission as without the registry. The first one leaves time to meet an objective of 400 ms.

--- a/include/chervilmast/data_watch.h
+++ b/include/chervilmast/data_watch.h
@@ -7,9 +7,10 @@
  * again shows that the server did not acknowledge it. The packets of all flows
  * are examined, also of those that are not in the flow table.
  *
- * The first retransmission does not count. It often follows from a lost packet
- * or a slow response: in tests/unit/test_gone_load.c it made instances reset
- * 27 to 153 flows of servers that were only full, the second one none.
+ * The first retransmission does not count as stalled. It often follows from a
+ * lost packet or a slow response: in tests/unit/test_gone_load.c it made
+ * instances reset 27 to 153 flows of servers that were only full, the second
+ * one none.
  */
 #ifndef CHERVILMAST_DATA_WATCH_H
 #define CHERVILMAST_DATA_WATCH_H
@@ -47,12 +48,17 @@
 /**
  * struct cm_data_watch - data packets to a server
  * @packets: packets of different flows
+ * @repeated_from_ms: first transmission of the data that was last seen to be
+ *                    retransmitted for the first time or later, ms
+ * @repeated_ms: when that retransmission was seen, ms; 0 for never
  * @stalled_from_ms: first transmission of the data that was last seen to be
- *                   retransmitted, ms
+ *                   retransmitted for the second time or later, ms
  * @stalled_ms: when that retransmission was seen, ms; 0 for never
  */
 struct cm_data_watch {
 	struct cm_data_packet packets[CM_DATA_WATCH_PACKETS];
+	uint64_t repeated_from_ms;
+	uint64_t repeated_ms;
 	uint64_t stalled_from_ms;
 	uint64_t stalled_ms;
 };
@@ -70,12 +76,23 @@
 			  const struct cm_steer_packet *packet);
 
 /**
- * cm_data_watch_is_stalled() - whether data to the server was retransmitted
+ * cm_data_watch_is_repeated() - whether data to the server was retransmitted
  * @watch: the watch
  * @now_ms: current time, ms
  *
  * Return: true for CM_DATA_STALL_TTL_MS after a retransmission.
  */
+bool cm_data_watch_is_repeated(const struct cm_data_watch *watch,
+			       uint64_t now_ms);
+
+/**
+ * cm_data_watch_is_stalled() - whether data to the server was retransmitted at
+ * least CM_DATA_STALL_MS after its first transmission
+ * @watch: the watch
+ * @now_ms: current time, ms
+ *
+ * Return: true for CM_DATA_STALL_TTL_MS after such a retransmission.
+ */
 bool cm_data_watch_is_stalled(const struct cm_data_watch *watch,
 			      uint64_t now_ms);
 
--- a/src/core/data_watch.c
+++ b/src/core/data_watch.c
@@ -5,6 +5,12 @@
  * with a margin for delays. Another packet may be remembered after it.
  */
 #define WATCH_MS 700
+/**
+ * Minimum time between two copies of a packet for the second to be a
+ * retransmission and not a duplicate made by the network, ms: half of the first
+ * retransmission interval.
+ */
+#define DUPLICATE_MAX_MS 100
 
 static bool is_after(uint32_t number, uint32_t other)
 {
@@ -43,6 +49,20 @@
 	place->sent_ms = now_ms;
 }
 
+/* Records another copy of a packet that was first forwarded at @sent_ms. */
+static void record_copy(struct cm_data_watch *watch, uint64_t now_ms,
+			uint64_t sent_ms)
+{
+	if (now_ms >= sent_ms + DUPLICATE_MAX_MS) {
+		watch->repeated_from_ms = sent_ms;
+		watch->repeated_ms = now_ms;
+	}
+	if (now_ms >= sent_ms + CM_DATA_STALL_MS) {
+		watch->stalled_from_ms = sent_ms;
+		watch->stalled_ms = now_ms;
+	}
+}
+
 static bool is_empty(const struct cm_data_watch *watch)
 {
 	for (int i = 0; i < CM_DATA_WATCH_PACKETS; i++)
@@ -74,14 +94,19 @@
 	if (place->flow_hash != flow_hash || !place->sent_ms ||
 	    is_after(packet->seq, place->seq)) {
 		remember(place, now_ms, flow_hash, packet);
-	} else if (packet->seq == place->seq &&
-		   now_ms >= place->sent_ms + CM_DATA_STALL_MS) {
-		watch->stalled_from_ms = place->sent_ms;
-		watch->stalled_ms = now_ms;
+	} else if (packet->seq == place->seq) {
+		record_copy(watch, now_ms, place->sent_ms);
 	}
 	return false;
 }
 
+bool cm_data_watch_is_repeated(const struct cm_data_watch *watch,
+			       uint64_t now_ms)
+{
+	return watch->repeated_ms &&
+	       now_ms < watch->repeated_ms + CM_DATA_STALL_TTL_MS;
+}
+
 bool cm_data_watch_is_stalled(const struct cm_data_watch *watch,
 			      uint64_t now_ms)
 {
--- a/src/core/steer_gone.c
+++ b/src/core/steer_gone.c
@@ -76,16 +76,87 @@
 	       server->health.answered_ms > since_ms;
 }
 
+/* As has_answered_since(); an answer to a probe counts too. */
+static bool was_reached_since(const struct cm_steer_server *server,
+			      uint64_t since_ms)
+{
+	return has_answered_since(server, since_ms) ||
+	       server->health.reached_ms > since_ms;
+}
+
+static const uint64_t *find_down_since(const struct cm_steer_down *down,
+				       uint32_t token)
+{
+	for (uint32_t i = 0; i < down->servers.count; i++)
+		if (down->servers.tokens[i] == token)
+			return &down->since_ms[i];
+	return NULL;
+}
+
+/*
+ * Whether the source lists the server as down. A caller has retransmitted data
+ * to it, so that it has not answered since CM_DATA_STALL_MS before the
+ * list was first requested; an answer after that disproves the list.
+ */
+static bool is_down(const struct cm_steer *steer, uint64_t now_ms,
+		    const struct cm_steer_server *server, uint64_t *since_ms)
+{
+	const struct cm_steer_down *down = &steer->gone.down;
+	const uint64_t *listed_ms;
+
+	if (!down->servers.count ||
+	    now_ms >= down->requested_ms + CM_SUSPECT_TTL_MS)
+		return false;
+	listed_ms = find_down_since(down, server->token);
+	if (!listed_ms)
+		return false;
+	*since_ms = *listed_ms;
+	return !was_reached_since(server, *listed_ms - CM_DATA_STALL_MS);
+}
+
+/*
+ * Whether the server is silent by an observation other than that of data: it
+ * left a SYN of this instance and a probe unanswered, or the source suspects
+ * it.
+ */
+static bool seems_silent(const struct cm_steer_server *server, uint64_t now_ms)
+{
+	const struct cm_server_health *health = &server->health;
+
+	if (cm_server_health_is_silent(health, now_ms) &&
+	    !has_answered_since(server, health->unanswered_ms))
+		return true;
+	return now_ms < health->reported_until_ms;
+}
+
+/*
+ * Whether an observation agrees that a server whose entry was removed is gone.
+ * A server that is cut off from the registry alone loses its entry, too.
+ */
+static bool shows_no_life(const struct cm_steer *steer, uint64_t now_ms,
+			  const struct cm_steer_server *server)
+{
+	const struct cm_data_watch *watch = &server->watch;
+	uint64_t since_ms;
+
+	return (cm_data_watch_is_repeated(watch, now_ms) &&
+		!was_reached_since(server, watch->repeated_from_ms)) ||
+	       seems_silent(server, now_ms) ||
+	       is_down(steer, now_ms, server, &since_ms);
+}
+
 /*
  * Whether a server whose entry was removed without draining is gone: most other
- * entries of its failure domain stayed for long enough.
+ * entries of its failure domain stayed for long enough, and the server shows no
+ * life.
  */
-static bool removal_is_certain(struct cm_steer *steer,
+static bool removal_is_certain(struct cm_steer *steer, uint64_t now_ms,
 			       const struct cm_steer_server *server)
 {
 	return steer->registry_confirmed_ms >=
 		       server->removed_ms + REMOVALS_SPREAD_MS &&
-	       domain_is_listed(steer, server->domain_hash);
+	       domain_is_listed(steer, server->domain_hash) &&
+	       shows_no_life(steer, now_ms, server);
 }
 
 /*
@@ -94,7 +165,7 @@
  * server that has lost its connection to the registry only still answers
  * callers.
  */
-static bool check_registry(struct cm_steer *steer,
+static bool check_registry(struct cm_steer *steer, uint64_t now_ms,
 			   const struct cm_steer_server *server,
 			   struct cm_steer_gone_evidence *evidence)
 {
@@ -111,16 +182,7 @@
 	if (server->entry.is_draining)
 		return true;
 	evidence->reason = CM_C_STEER_GONE_REMOVED;
-	return removal_is_certain(steer, server);
-}
-
-static const uint64_t *find_down_since(const struct cm_steer_down *down,
-				       uint32_t token)
-{
-	for (uint32_t i = 0; i < down->servers.count; i++)
-		if (down->servers.tokens[i] == token)
-			return &down->since_ms[i];
-	return NULL;
+	return removal_is_certain(steer, now_ms, server);
 }
 
 void cm_steer_gone_apply_down(struct cm_steer_gone *gone, uint64_t requested_ms,
@@ -143,14 +205,6 @@
 	}
 }
 
-/* As has_answered_since(); an answer to a probe counts too. */
-static bool was_reached_since(const struct cm_steer_server *server,
-			      uint64_t since_ms)
-{
-	return has_answered_since(server, since_ms) ||
-	       server->health.reached_ms > since_ms;
-}
-
 bool cm_steer_gone_is_stalled(const struct cm_steer_server *server,
 			      uint64_t now_ms)
 {
@@ -213,40 +267,13 @@
 }
 
 /*
- * Whether the source lists the server as down. A caller has retransmitted data
- * to it, so that it has not answered since CM_DATA_STALL_MS before the
- * list was first requested; an answer after that disproves the list.
- */
-static bool is_down(const struct cm_steer *steer, uint64_t now_ms,
-		    const struct cm_steer_server *server, uint64_t *since_ms)
-{
-	const struct cm_steer_down *down = &steer->gone.down;
-	const uint64_t *listed_ms;
-
-	if (!down->servers.count ||
-	    now_ms >= down->requested_ms + CM_SUSPECT_TTL_MS)
-		return false;
-	listed_ms = find_down_since(down, server->token);
-	if (!listed_ms)
-		return false;
-	*since_ms = *listed_ms;
-	return !was_reached_since(server, *listed_ms - CM_DATA_STALL_MS);
-}
-
-/*
- * Whether the server is silent by an observation other than that of data: it
- * left a SYN of this instance and a probe unanswered, the source suspects it,
- * or its entry was removed while those of most other servers stayed.
+ * Whether an observation other than that of data agrees: the server seems
+ * silent, or its entry was removed while those of most other servers stayed.
  */
-static bool seems_silent(struct cm_steer *steer, uint64_t now_ms,
-			 const struct cm_steer_server *server)
+static bool has_other_observation(struct cm_steer *steer, uint64_t now_ms,
+				  const struct cm_steer_server *server)
 {
-	const struct cm_server_health *health = &server->health;
-
-	if (cm_server_health_is_silent(health, now_ms) &&
-	    !has_answered_since(server, health->unanswered_ms))
-		return true;
-	if (now_ms < health->reported_until_ms)
+	if (seems_silent(server, now_ms))
 		return true;
 	return server->listing == CM_LEFT &&
 	       !cm_steer_may_have_lapsed(steer, now_ms) &&
@@ -280,7 +307,7 @@
 	evidence->reason = CM_C_STEER_GONE_SILENT;
 	evidence->since_ms = server->watch.stalled_from_ms;
 	return cm_steer_gone_is_stalled(server, now_ms) &&
-	       seems_silent(steer, now_ms, server) &&
+	       has_other_observation(steer, now_ms, server) &&
 	       is_repeatable(steer, packet);
 }
 
@@ -301,7 +328,7 @@
 	if (cm_steer_is_cut_off(steer) || !data_is_current(steer, now_ms))
 		return false;
 	if (!cm_steer_may_have_lapsed(steer, now_ms) &&
-	    check_registry(steer, server, evidence))
+	    check_registry(steer, now_ms, server, evidence))
 		return true;
 	return check_observed(steer, now_ms, packet, server, evidence);
 }
