Count resets that are withheld; accept any new data after a short pause

Cause: after each time step above 60 ms, resets waited for data that was current at the start of the pause. A process with 0.03 of a core stops that long often, and data of the source is up to 1 s old, so that resets could be ruled out most of the time. Nothing showed how often evidence was ruled out.

Change: after a pause of at most 200 ms any new data ends the wait; after a longer one it must have been current at the end of the pause, as before. steer_gone_withheld counts packets for which the limits ruled out evidence. Ruled out: no wait after short pauses, as the limit of the active clock is the agreed one.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -216,6 +216,8 @@
 	  "open flows reset as several instances found their server down")     \
 	X(STEER_GONE_SILENT, "steer_gone_silent",                              \
 	  "open flows reset as their server answers neither SYNs nor data")    \
+	X(STEER_GONE_WITHHELD, "steer_gone_withheld",                          \
+	  "packets to gone servers forwarded, as this instance was unsure")    \
 	X(STEER_FLOW_FORGOTTEN, "steer_flow_forgotten",                        \
 	  "flows evicted because the flow table was full")                     \
 	X(STEER_FLOW_FAILED, "steer_flow_failed",                              \
--- a/include/chervilmast/steer_gone.h
+++ b/include/chervilmast/steer_gone.h
@@ -58,8 +58,10 @@
 
 /**
  * struct cm_steer_gone - state for decisions on servers that are gone
- * @renewed_from_ms: registry data that was current at this time or later counts
- *                   as renewed since the last pause of the process, ms
+ * @must_renew: no registry data was received since the last pause of the
+ * process
+ * @renewed_from_ms: the data must have been current at this time or later, as
+ * it was outdated by a long pause, ms
  * @domains: counted failure domains, by hash of the name
  * @down: servers that the source lists as down
  * @stalled: servers to which data was retransmitted, also longer ago than
@@ -67,6 +69,7 @@
  * @has_new_silent: there is more to report of a silent server
  */
 struct cm_steer_gone {
+	bool must_renew;
 	uint64_t renewed_from_ms;
 	struct cm_steer_gone_domain domains[CM_STEER_GONE_DOMAINS];
 	struct cm_steer_down down;
--- a/src/core/steer_gone.c
+++ b/src/core/steer_gone.c
@@ -13,17 +13,19 @@
  */
 #define REMOVALS_SPREAD_MS 1200
 /**
- * Maximum duration of a pause after which data that was current at its start
- * still counts as renewed, ms: the first retransmission interval of callers. A
- * process with a small share of a core often stops for up to 100 ms.
+ * Minimum duration of a pause after which data must have been current at its
+ * end, ms: the first retransmission interval of callers. A process with a small
+ * share of a core often stops for up to 100 ms; after that any new data is
+ * enough.
  */
-#define SHORT_PAUSE_MS 200
+#define LONG_PAUSE_MS 200
 
 void cm_steer_gone_paused(struct cm_steer_gone *gone, uint64_t began_ms,
 			  uint64_t ended_ms)
 {
-	gone->renewed_from_ms =
-		ended_ms - began_ms <= SHORT_PAUSE_MS ? began_ms : ended_ms;
+	gone->must_renew = true;
+	if (ended_ms - began_ms > LONG_PAUSE_MS)
+		gone->renewed_from_ms = ended_ms;
 }
 
 static bool is_missing(const struct cm_steer_server *server)
@@ -311,24 +313,36 @@
 	       is_repeatable(steer, packet);
 }
 
-/* Whether the data was renewed since the last pause and is fresh. */
-static bool data_is_current(const struct cm_steer *steer, uint64_t now_ms)
+/* Whether the instance may act on evidence. */
+static bool may_judge(const struct cm_steer *steer, uint64_t now_ms)
 {
-	return cm_steer_registry_is_fresh(steer, now_ms) &&
+	return !cm_steer_is_cut_off(steer) &&
+	       cm_steer_registry_is_fresh(steer, now_ms) &&
+	       !steer->gone.must_renew &&
 	       steer->registry_confirmed_ms >= steer->gone.renewed_from_ms;
 }
 
-bool cm_steer_gone_check(struct cm_steer *steer, uint64_t now_ms,
+static bool has_evidence(struct cm_steer *steer, uint64_t now_ms,
 			 const struct cm_steer_packet *packet,
 			 const struct cm_steer_server *server,
 			 struct cm_steer_gone_evidence *evidence)
 {
-	if (packet->flags & (CM_STEER_SYN | CM_STEER_RST))
-		return false;
-	if (cm_steer_is_cut_off(steer) || !data_is_current(steer, now_ms))
-		return false;
 	if (!cm_steer_may_have_lapsed(steer, now_ms) &&
 	    check_registry(steer, now_ms, server, evidence))
 		return true;
 	return check_observed(steer, now_ms, packet, server, evidence);
 }
+
+bool cm_steer_gone_check(struct cm_steer *steer, uint64_t now_ms,
+			 const struct cm_steer_packet *packet,
+			 const struct cm_steer_server *server,
+			 struct cm_steer_gone_evidence *evidence)
+{
+	if (packet->flags & (CM_STEER_SYN | CM_STEER_RST) ||
+	    !has_evidence(steer, now_ms, packet, server, evidence))
+		return false;
+	if (may_judge(steer, now_ms))
+		return true;
+	cm_counters_add(&steer->counters, CM_C_STEER_GONE_WITHHELD);
+	return false;
+}
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -208,6 +208,7 @@
 	if (steer->is_registry_unreachable)
 		steer->registry_restored_ms = current_at_ms;
 	steer->is_registry_unreachable = false;
+	steer->gone.must_renew = false;
 	if (current_at_ms > steer->registry_confirmed_ms)
 		steer->registry_confirmed_ms = current_at_ms;
 	pthread_mutex_unlock(&steer->lock);
--- a/tests/unit/test_steer_gone.c
+++ b/tests/unit/test_steer_gone.c
@@ -308,10 +308,25 @@
 	cm_steer_tick(&steering, steering_ms);
 	cm_steer_registry_answered(&steering, resumed_ms - 1);
 	assert_forwarded(1);
+	ck_assert_uint_eq(steering_counter(CM_C_STEER_GONE_WITHHELD), 2);
 	cm_steer_registry_answered(&steering, resumed_ms);
 	assert_reset(1, CM_C_STEER_GONE_DRAINED);
 }
 
+/* A process with a small share of a core often stops for up to 100 ms. Its data
+ * may be older than that, but it has to be renewed. */
+TEST(no_flow_is_reset_between_a_short_pause_and_new_data)
+{
+	steering_make_ready(SERVERS);
+	drain_server(1);
+	remove_server(1);
+	assert_reset(1, CM_C_STEER_GONE_DRAINED);
+	steering_ms += 100;
+	assert_forwarded(1);
+	cm_steer_registry_answered(&steering, steering_ms - 500);
+	assert_reset(1, CM_C_STEER_GONE_DRAINED);
+}
+
 /* An instance that no server answers may be the one that is cut off. */
 TEST(no_flow_is_reset_by_an_instance_that_is_cut_off)
 {
