Admit requests by priority and age under overload

Cause: with 3.2 times the demand, servers reject about half of the arrivals and the urgent route fares no better than the others. The part applies only to services whose routes have different priorities, and it acts only after demand has exceeded the capacity for 300 ms and responses show it (rejections of two servers, or twice the usual time). The limit rises while responses are as fast as usual, so that a wrong estimate refuses nothing for long. Ruled out: comparing demand with capacity alone, as an instance sees too few requests in a second for that.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -186,6 +186,18 @@
 	  "times that a repeated SYN was held until a server has room")        \
 	X(STEER_HELD_STALE, "steer_held_stale",                                \
 	  "times that a SYN was held until old registry data is renewed")      \
+	X(STEER_OVERLOADS, "steer_overloads",                                  \
+	  "times that a service counted as overloaded at this instance")       \
+	X(STEER_ADMISSION_DEFERRED, "steer_admission_deferred",                \
+	  "SYNs dropped under overload that the caller repeats in time")       \
+	X(STEER_ADMISSION_RESET, "steer_admission_reset",                      \
+	  "new flows reset under overload as their turn can't come in time")   \
+	X(STEER_ADMISSION_SHED, "steer_admission_shed",                        \
+	  "as steer_admission_reset, but dropped to limit retries")            \
+	X(STEER_REQUEST_DEFERRED, "steer_request_deferred",                    \
+	  "requests on open flows dropped under overload that are repeated")   \
+	X(STEER_REQUEST_SHED, "steer_request_shed",                            \
+	  "requests on open flows dropped that can't meet their deadline")     \
 	X(STEER_SYN_REPEATED, "steer_syn_repeated",                            \
 	  "repeated SYNs forwarded to the same server")                        \
 	X(STEER_SYN_LATE, "steer_syn_late",                                    \
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -21,6 +21,7 @@
 #include "chervilmast/counter.h"
 #include "chervilmast/feed_choice.h"
 #include "chervilmast/histogram.h"
+#include "chervilmast/steer_admission.h"
 #include "chervilmast/steer_change.h"
 #include "chervilmast/steer_flow.h"
 #include "chervilmast/steer_packet.h"
@@ -94,6 +95,7 @@
  * @servers: the backend servers
  * @peers: all instances in the registry, this one included
  * @flows: flows whose SYN this instance forwarded
+ * @admissions: services whose requests are admitted by priority
  * @domains_out: failure domains that are out of service
  * @registry_confirmed_ms: latest time at which the registry data was known to
  *                         be current, ms; 0 for never
@@ -128,6 +130,7 @@
 	struct cm_steer_servers servers;
 	struct cm_steer_peers peers;
 	struct cm_steer_flows flows;
+	struct cm_steer_admissions admissions;
 	struct cm_domain_out domains_out[CM_STEER_DOMAINS_OUT_MAX];
 	uint64_t registry_confirmed_ms;
 	uint64_t registry_restored_ms;
--- a/include/chervilmast/steer_flow.h
+++ b/include/chervilmast/steer_flow.h
@@ -14,6 +14,7 @@
 #include <sys/queue.h>
 
 #include "chervilmast/flow_key.h"
+#include "chervilmast/flow_request.h"
 
 /** Hash buckets of a flow table; a power of two. */
 #define CM_STEER_FLOW_BUCKETS 4096
@@ -35,6 +36,7 @@
  * @first_ack: first acknowledgment number from the caller
  * @last_ack: latest acknowledgment number from the caller
  * @last_ms: when the last packet arrived, ms
+ * @request: its latest request, for admission under overload
  * @bucket: link in its hash bucket
  * @opening: link in the list of SYNs that wait for an answer
  * @link: link in the list of all flows, or in the free list
@@ -53,6 +55,7 @@
 	uint32_t first_ack;
 	uint32_t last_ack;
 	uint64_t last_ms;
+	struct cm_flow_request request;
 	LIST_ENTRY(cm_steer_flow) bucket;
 	TAILQ_ENTRY(cm_steer_flow) opening;
 	TAILQ_ENTRY(cm_steer_flow) link;
--- /dev/null
+++ b/src/core/admission.c
@@ -0,0 +1,490 @@
+#include "chervilmast/admission.h"
+
+#include <string.h>
+
+#include "test_switch.h"
+
+#define US_PER_MS 1000
+#define MS_PER_S 1000
+#define PER_MILLE 1000
+/**
+ * Time for which requests must have been counted before demand is compared, ms.
+ * After a pause, the packets that waited are no longer in the counts then.
+ */
+#define COUNTED_MS (CM_DEMAND_WINDOWS * CM_DEMAND_WINDOW_MS)
+/** Time for which demand must exceed capacity before an overload begins, ms. */
+#define EXCEEDED_MS 300
+/** Time for which demand must be covered before an overload ends, ms. */
+#define COVERED_MS 1000
+/** Demand is covered below this share of the limit, thousandths. */
+#define COVERED_PER_MILLE 850
+/** Response time that shows an overload, thousandths of the usual one. */
+#define SLOW_PER_MILLE 2000
+/** Response time at which the limit is lowered, thousandths of the usual one.
+ */
+#define TOO_SLOW_PER_MILLE 3000
+/** Response time that shows free slots, thousandths of the usual one. */
+#define FAST_PER_MILLE 1500
+/** Minimum number of responses for a mean that counts as evidence. */
+#define ANSWERED_MIN 4
+/** Minimum number of rejections that count as evidence. */
+#define REJECTED_MIN 2
+/** Share of rejections, of all responses, that counts as evidence. */
+#define REJECTED_DIVISOR 20
+/** Time for which a server that rejected counts as one of several, ms. */
+#define REJECTING_MS 1000
+/**
+ * Divisors of the steps of the limit at an update. The limit is lowered slowly,
+ * as its effect on responses shows only after they have left the queues.
+ */
+#define LOWER_DIVISOR 32
+#define RAISE_DIVISOR 64
+#define RAISE_FAST_DIVISOR 16
+/** The limit is not lowered below the capacity divided by this. */
+#define LIMIT_MIN_DIVISOR 2
+/** Time whose work may be admitted at once, ms; a fraction of an objective. */
+#define BURST_MS 100
+/** Maximum time for which credit is refilled at once, ms. */
+#define REFILL_MAX_MS 200
+/** Share of the limit that each lower priority keeps. */
+#define RESERVE_DIVISOR 10
+/** Time whose reserve may be saved up, ms. */
+#define RESERVE_SAVED_MS 500
+/** Bursts that the first rank may take before they are refilled. */
+#define DEBT_BURSTS 2
+/** Part of a burst that separates requests of a rank by their age. */
+#define AGE_DIVISOR 4
+/** Resets per admitted request, thousandths. */
+#define RESET_PER_MILLE 100
+/** Maximum number of resets that are saved up, thousandths. */
+#define RESET_SAVED 5000
+
+void cm_admission_init(struct cm_admission *admission)
+{
+	memset(admission, 0, sizeof(*admission));
+}
+
+static uint32_t rank_of(const struct cm_admission *admission, uint32_t priority)
+{
+	uint32_t rank = 0;
+
+	while (rank + 1 < admission->rank_count &&
+	       admission->priorities[rank] < priority)
+		rank++;
+	return rank;
+}
+
+/* Inserts a priority in order; the lowest ones are dropped when too many. */
+static void add_priority(struct cm_admission *admission, uint32_t priority)
+{
+	uint32_t at = 0;
+
+	while (at < admission->rank_count &&
+	       admission->priorities[at] < priority)
+		at++;
+	if (at == CM_ADMISSION_RANKS_MAX ||
+	    (at < admission->rank_count &&
+	     admission->priorities[at] == priority))
+		return;
+	if (admission->rank_count < CM_ADMISSION_RANKS_MAX)
+		admission->rank_count++;
+	for (uint32_t i = admission->rank_count - 1; i > at; i--)
+		admission->priorities[i] = admission->priorities[i - 1];
+	admission->priorities[at] = priority;
+}
+
+static void list_priorities(struct cm_admission *admission)
+{
+	admission->rank_count = 0;
+	for (uint32_t i = 0; i < admission->route_count; i++)
+		add_priority(admission, admission->routes[i].traits.priority);
+}
+
+struct cm_route_demand *
+cm_admission_find_route(struct cm_admission *admission,
+			const struct cm_endpoint *address)
+{
+	for (uint32_t i = 0; i < admission->route_count; i++)
+		if (cm_endpoint_equal(&admission->routes[i].address, address))
+			return &admission->routes[i];
+	return NULL;
+}
+
+void cm_admission_add_route(struct cm_admission *admission,
+			    const struct cm_plan_route *route, uint64_t now_ms)
+{
+	struct cm_route_demand *demand =
+		cm_admission_find_route(admission, &route->address);
+
+	if (demand) {
+		demand->traits = route->traits;
+		demand->objective_ms = route->objective_ms;
+	} else if (admission->route_count < CM_ADMISSION_ROUTES_MAX) {
+		demand = &admission->routes[admission->route_count++];
+		cm_route_demand_init(demand, route, now_ms);
+	}
+	list_priorities(admission);
+}
+
+void cm_admission_remove_route(struct cm_admission *admission, uint32_t index)
+{
+	admission->routes[index] = admission->routes[--admission->route_count];
+	list_priorities(admission);
+}
+
+bool cm_admission_is_calm(const struct cm_admission *admission)
+{
+	return !admission->is_overloaded && !admission->exceeded_ms;
+}
+
+void cm_admission_server_rejected(struct cm_admission *admission,
+				  uint64_t now_ms, uint32_t token)
+{
+	if (admission->rejecting_ms && admission->rejecting != token)
+		admission->rejecting_others_ms = admission->rejecting_ms;
+	admission->rejecting = token;
+	admission->rejecting_ms = now_ms;
+}
+
+static uint64_t work_per_s(uint32_t count, uint32_t work_us, uint32_t span_ms)
+{
+	return (uint64_t)count * work_us * MS_PER_S / span_ms;
+}
+
+/*
+ * Adds a route to the evidence. Its requests count only once their work is
+ * known: until then the demand is underestimated, so that nothing is refused.
+ */
+static void add_route_evidence(struct cm_admission_evidence *evidence,
+			       const struct cm_route_demand *route,
+			       uint64_t now_ms, uint64_t *usual_us,
+			       uint64_t *took_ms)
+{
+	struct cm_demand_count last_s, recent;
+	uint32_t span_ms = cm_route_demand_count(route, now_ms,
+						 CM_DEMAND_WINDOWS, &last_s);
+
+	cm_route_demand_count(route, now_ms, CM_DEMAND_RECENT_WINDOWS, &recent);
+	evidence->rejected += recent.rejected;
+	if (!cm_route_demand_work_is_known(route))
+		return;
+	evidence->demand += work_per_s(last_s.started, route->work_us, span_ms);
+	evidence->completed +=
+		work_per_s(last_s.answered, route->work_us, span_ms);
+	evidence->started += last_s.started;
+	evidence->answered += recent.answered;
+	*usual_us += (uint64_t)recent.answered * route->usual_us;
+	*took_ms += recent.answer_ms;
+}
+
+static void collect_evidence(struct cm_admission *admission, uint64_t now_ms)
+{
+	struct cm_admission_evidence *evidence = &admission->evidence;
+	uint64_t usual_us = 0, took_ms = 0;
+
+	memset(evidence, 0, sizeof(*evidence));
+	for (uint32_t i = 0; i < admission->route_count; i++)
+		add_route_evidence(evidence, &admission->routes[i], now_ms,
+				   &usual_us, &took_ms);
+	if (evidence->answered >= ANSWERED_MIN && usual_us)
+		evidence->slowness_per_mille =
+			(uint32_t)(took_ms * US_PER_MS * PER_MILLE / usual_us);
+}
+
+/*
+ * Whether demand exceeds capacity by more than half a standard deviation of the
+ * number of requests: an instance sees few requests in a second.
+ */
+static bool is_exceeded(const struct cm_admission *admission)
+{
+	const struct cm_admission_evidence *evidence = &admission->evidence;
+	uint64_t demand = evidence->demand / US_PER_MS;
+	uint64_t capacity = admission->capacity / US_PER_MS;
+
+	if (!capacity || demand <= capacity)
+		return false;
+	return (demand - capacity) * (demand - capacity) * 4 *
+		       evidence->started >
+	       demand * demand;
+}
+
+static bool servers_reject(const struct cm_admission *admission,
+			   uint64_t now_ms)
+{
+	const struct cm_admission_evidence *evidence = &admission->evidence;
+
+	return evidence->rejected >= REJECTED_MIN &&
+	       evidence->rejected * REJECTED_DIVISOR >=
+		       evidence->rejected + evidence->answered &&
+	       admission->rejecting_others_ms &&
+	       now_ms < admission->rejecting_others_ms + REJECTING_MS;
+}
+
+static bool responses_show_overload(const struct cm_admission *admission,
+				    uint64_t now_ms)
+{
+	return servers_reject(admission, now_ms) ||
+	       admission->evidence.slowness_per_mille > SLOW_PER_MILLE;
+}
+
+static uint64_t max_u64(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+static void begin_overload(struct cm_admission *admission, uint64_t now_ms)
+{
+	admission->is_overloaded = true;
+	admission->overloaded_ms = now_ms;
+	admission->covered_ms = 0;
+	admission->limit =
+		max_u64(admission->capacity, admission->evidence.completed);
+	admission->credit = 0;
+	admission->refilled_ms = now_ms;
+	memset(admission->reserve, 0, sizeof(admission->reserve));
+	admission->reset_credit = 0;
+}
+
+static void end_overload(struct cm_admission *admission)
+{
+	admission->is_overloaded = false;
+	admission->exceeded_ms = 0;
+	admission->covered_ms = 0;
+}
+
+/*
+ * What servers have completed is a measured lower bound of what they can, so
+ * the limit is not lowered below it.
+ */
+static uint64_t least_limit(const struct cm_admission *admission)
+{
+	return max_u64(admission->capacity / LIMIT_MIN_DIVISOR,
+		       admission->evidence.completed);
+}
+
+static void adapt_limit(struct cm_admission *admission, uint64_t now_ms)
+{
+	uint32_t slowness = admission->evidence.slowness_per_mille;
+	uint64_t least = least_limit(admission);
+
+	if (servers_reject(admission, now_ms) || slowness > TOO_SLOW_PER_MILLE)
+		admission->limit -= admission->limit / LOWER_DIVISOR;
+	else if (slowness < FAST_PER_MILLE && !admission->evidence.rejected)
+		admission->limit += admission->limit / RAISE_FAST_DIVISOR;
+	else if (slowness < SLOW_PER_MILLE)
+		admission->limit += admission->limit / RAISE_DIVISOR;
+	if (admission->limit < least)
+		admission->limit = least;
+}
+
+/* Sets @since_ms to the time since when @condition holds. */
+static void track_since(uint64_t *since_ms, bool condition, uint64_t now_ms)
+{
+	if (!condition)
+		*since_ms = 0;
+	else if (!*since_ms)
+		*since_ms = now_ms;
+}
+
+static void check_begin(struct cm_admission *admission, uint64_t now_ms)
+{
+	if (admission->exceeded_ms &&
+	    now_ms >= admission->exceeded_ms + EXCEEDED_MS &&
+	    responses_show_overload(admission, now_ms) &&
+	    !cm_switched_off(CM_SWITCH_ADMISSION))
+		begin_overload(admission, now_ms);
+}
+
+static void check_end(struct cm_admission *admission, uint64_t now_ms)
+{
+	uint64_t limit = max_u64(admission->capacity, admission->limit);
+
+	track_since(&admission->covered_ms,
+		    admission->evidence.demand <
+			    limit / PER_MILLE * COVERED_PER_MILLE,
+		    now_ms);
+	if (!admission->capacity ||
+	    (admission->covered_ms &&
+	     now_ms >= admission->covered_ms + COVERED_MS))
+		end_overload(admission);
+}
+
+static void restart(struct cm_admission *admission, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < admission->route_count; i++)
+		cm_route_demand_restart(&admission->routes[i], now_ms);
+	admission->counted_ms = now_ms;
+	admission->rejecting_ms = 0;
+	admission->rejecting_others_ms = 0;
+	end_overload(admission);
+}
+
+bool cm_admission_update_is_due(const struct cm_admission *admission,
+				uint64_t now_ms)
+{
+	return now_ms >= admission->updated_ms + CM_ADMISSION_UPDATE_MS;
+}
+
+void cm_admission_update(struct cm_admission *admission, uint64_t now_ms,
+			 uint64_t capacity)
+{
+	if (now_ms >= admission->updated_ms + CM_ADMISSION_PAUSE_MS)
+		restart(admission, now_ms);
+	admission->updated_ms = now_ms;
+	admission->capacity = capacity;
+	collect_evidence(admission, now_ms);
+	track_since(&admission->exceeded_ms,
+		    now_ms >= admission->counted_ms + COUNTED_MS &&
+			    is_exceeded(admission),
+		    now_ms);
+	if (!admission->is_overloaded) {
+		check_begin(admission, now_ms);
+		return;
+	}
+	adapt_limit(admission, now_ms);
+	check_end(admission, now_ms);
+}
+
+static int64_t burst(const struct cm_admission *admission)
+{
+	return (int64_t)(admission->limit / MS_PER_S * BURST_MS);
+}
+
+static int64_t limited(int64_t value, int64_t max)
+{
+	return value < max ? value : max;
+}
+
+/*
+ * Each rank but the first keeps its reserve of the limit; what it doesn't use
+ * goes to all.
+ */
+static void refill(struct cm_admission *admission, uint64_t now_ms)
+{
+	uint64_t passed_ms = now_ms - admission->refilled_ms;
+	int64_t added, reserved;
+
+	if (now_ms <= admission->refilled_ms)
+		return;
+	if (passed_ms > REFILL_MAX_MS)
+		passed_ms = REFILL_MAX_MS;
+	admission->refilled_ms = now_ms;
+	added = (int64_t)(admission->limit * passed_ms / MS_PER_S);
+	reserved = added / RESERVE_DIVISOR;
+	for (uint32_t rank = 1; rank < admission->rank_count; rank++) {
+		int64_t max = (int64_t)(admission->limit / RESERVE_DIVISOR *
+					RESERVE_SAVED_MS / MS_PER_S);
+		int64_t kept =
+			limited(reserved, max - admission->reserve[rank]);
+
+		if (kept < 0)
+			kept = 0;
+		admission->reserve[rank] += kept;
+		added -= kept;
+	}
+	admission->credit =
+		limited(admission->credit + added, burst(admission));
+}
+
+/* Time that a response is expected to take now, ms. */
+static uint32_t expected_ms(const struct cm_admission *admission,
+			    const struct cm_route_demand *route)
+{
+	uint32_t slowness = admission->evidence.slowness_per_mille;
+
+	if (slowness < PER_MILLE)
+		slowness = PER_MILLE;
+	return (uint32_t)((uint64_t)route->work_us * slowness / PER_MILLE /
+			  US_PER_MS);
+}
+
+static bool is_within(uint32_t elapsed_ms, uint32_t needed_ms,
+		      uint32_t limit_ms)
+{
+	return !limit_ms || (uint64_t)elapsed_ms + needed_ms <= limit_ms;
+}
+
+/*
+ * Order of a request by age, lower first: 0 if it meets the objective only now,
+ * 1 if also at its next transmission, 2 if it meets only its deadline.
+ */
+static uint32_t age_order(const struct cm_admission *admission,
+			  const struct cm_admission_request *request)
+{
+	const struct cm_route_demand *route = request->route;
+	uint32_t needed_ms = expected_ms(admission, route);
+
+	if (!is_within(request->elapsed_ms, needed_ms, route->objective_ms))
+		return 2;
+	return request->next_ms &&
+	       is_within(request->elapsed_ms + request->next_ms, needed_ms,
+			 route->objective_ms);
+}
+
+/* Credit that must be left for a request to be admitted; differs by rank. */
+static int64_t least_credit(const struct cm_admission *admission, uint32_t rank,
+			    uint32_t order)
+{
+	int64_t step = burst(admission);
+	int64_t least = 0;
+
+	if (admission->rank_count > 1)
+		least = -DEBT_BURSTS * step *
+			(admission->rank_count - 1 - rank) /
+			(admission->rank_count - 1);
+	return least + order * step / AGE_DIVISOR;
+}
+
+static bool take_credit(struct cm_admission *admission,
+			const struct cm_admission_request *request)
+{
+	uint32_t rank = rank_of(admission, request->route->traits.priority);
+	int64_t work = request->route->work_us;
+
+	if (rank && admission->reserve[rank] > 0) {
+		admission->reserve[rank] -= work;
+		return true;
+	}
+	if (admission->credit <
+	    least_credit(admission, rank, age_order(admission, request)))
+		return false;
+	admission->credit -= work;
+	return true;
+}
+
+static void save_reset(struct cm_admission *admission)
+{
+	if (admission->reset_credit < RESET_SAVED)
+		admission->reset_credit += RESET_PER_MILLE;
+}
+
+enum cm_admission_outcome
+cm_admission_decide(struct cm_admission *admission, uint64_t now_ms,
+		    const struct cm_admission_request *request)
+{
+	const struct cm_route_demand *route = request->route;
+	uint32_t work_ms = route->work_us / US_PER_MS;
+
+	if (!admission->is_overloaded || !cm_route_demand_work_is_known(route))
+		return CM_ADMISSION_ADMIT;
+	refill(admission, now_ms);
+	if (!is_within(request->elapsed_ms, work_ms, route->traits.timeout_ms))
+		return CM_ADMISSION_SHED;
+	if (take_credit(admission, request)) {
+		save_reset(admission);
+		return CM_ADMISSION_ADMIT;
+	}
+	if (request->next_ms &&
+	    is_within(request->elapsed_ms + request->next_ms, work_ms,
+		      route->traits.timeout_ms))
+		return CM_ADMISSION_DEFER;
+	return CM_ADMISSION_SHED;
+}
+
+bool cm_admission_take_reset(struct cm_admission *admission)
+{
+	if (admission->reset_credit < PER_MILLE)
+		return false;
+	admission->reset_credit -= PER_MILLE;
+	return true;
+}
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "chervilmast/steer_choice.h"
+#include "steer_admission.h"
 #include "steer_internal.h"
 #include "test_switch.h"
 
@@ -233,13 +234,21 @@
 	};
 	struct cm_steer_server *server = NULL;
 	enum cm_steer_action action = CM_STEER_FORWARD;
+	enum cm_flow_admission admission = CM_FLOW_UNLIMITED;
 	enum cm_spare_capacity capacity;
 
 	if (choice.service) {
 		memcpy(verdict->service, choice.service, CM_NAME_SIZE);
+		/* A flow that a server left unanswered was admitted before. */
+		if (!avoid_token)
+			admission = cm_steer_admit_flow(
+				steer, now_ms, packet, choice.service, verdict);
+		if (admission == CM_FLOW_REFUSED)
+			return;
 		server = cm_steer_choose(steer, &choice, &capacity);
 	}
 	if (server && capacity != CM_CAPACITY_AVAILABLE &&
+	    admission != CM_FLOW_ADMITTED &&
 	    !can_meet_objective(steer, packet, route, choice.service))
 		action = decide_when_full(packet, avoid_token, capacity);
 	if (action != CM_STEER_FORWARD) {
@@ -254,6 +263,7 @@
 	}
 	cm_steer_record_choice(steer, server, now_ms);
 	track_flow(steer, now_ms, packet, server);
+	cm_steer_admission_flow_placed(steer, packet, choice.service);
 	forward_to(steer, now_ms, server,
 		   avoid_token ? CM_C_STEER_PLACED_AGAIN : CM_C_STEER_PLACED,
 		   verdict);
@@ -427,6 +437,13 @@
 		set_verdict(verdict, CM_STEER_DROP, CM_C_DROP_DOMAIN_OUT);
 		return;
 	}
+	if (!cm_steer_admit_packet(steer, now_ms, packet, server, verdict)) {
+		struct cm_steer_packet acknowledgment = *packet;
+
+		acknowledgment.data_length = 0;
+		update_flow(steer, now_ms, &acknowledgment, server);
+		return;
+	}
 	update_flow(steer, now_ms, packet, server);
 	forward_to(steer, now_ms, server, CM_C_STEER_BY_TOKEN, verdict);
 }
@@ -438,6 +455,7 @@
 	memset(verdict, 0, sizeof(*verdict));
 	pthread_mutex_lock(&steer->lock);
 	cm_steer_advance_clock(steer, now_ms);
+	cm_steer_admission_update(steer, now_ms);
 	verdict->plan_version = steer->plan.version;
 	verdict->registry_age_ms =
 		now_ms > steer->registry_confirmed_ms ?
--- /dev/null
+++ b/src/core/steer_admission.c
@@ -0,0 +1,524 @@
+#include "steer_admission.h"
+
+#include <string.h>
+
+#include "steer_internal.h"
+
+#define US_PER_S 1000000ULL
+/** Time between two computations of the capacity, ms. */
+#define CAPACITY_TTL_MS 500
+/** Time between two reports of an overload that lasts, ms. */
+#define REPORT_INTERVAL_MS 1000
+/** Times from a caller's first SYN to its transmissions, ms. */
+static const uint32_t syn_offsets_ms[] = { 0, 200, 600 };
+/** Times from the first data packet to its retransmissions, ms. */
+static const uint32_t data_offsets_ms[] = { 200, 600, 1400 };
+/** Interval of the retransmissions of data after @data_offsets_ms, ms. */
+#define DATA_INTERVAL_MS 1600
+
+#define COUNT_OF(array) (sizeof(array) / sizeof(*(array)))
+
+static struct cm_admission_service *
+find_service(struct cm_steer_admissions *admissions, uint64_t hash)
+{
+	for (uint32_t i = 0; i < admissions->count; i++)
+		if (admissions->items[i].hash == hash)
+			return &admissions->items[i];
+	return NULL;
+}
+
+static bool targets_service(const struct cm_steer_plan *plan,
+			    const struct cm_plan_route *route,
+			    uint32_t name_index)
+{
+	for (uint32_t i = 0; i < route->target_count; i++) {
+		const struct cm_plan_target *target =
+			&plan->targets[route->first_target + i];
+
+		if (target->name_index == name_index && target->weight)
+			return true;
+	}
+	return false;
+}
+
+static bool has_different_priorities(const struct cm_steer_plan *plan,
+				     uint32_t name_index)
+{
+	const struct cm_plan_route *first = NULL;
+
+	for (size_t i = 0; i < plan->route_count; i++) {
+		const struct cm_plan_route *route = &plan->routes[i];
+
+		if (!targets_service(plan, route, name_index))
+			continue;
+		if (first && first->traits.priority != route->traits.priority)
+			return true;
+		first = route;
+	}
+	return false;
+}
+
+static void add_routes(struct cm_admission *admission,
+		       const struct cm_steer_plan *plan, uint32_t name_index,
+		       uint64_t now_ms)
+{
+	for (size_t i = 0; i < plan->route_count; i++)
+		if (targets_service(plan, &plan->routes[i], name_index))
+			cm_admission_add_route(admission, &plan->routes[i],
+					       now_ms);
+}
+
+static uint32_t find_name(const struct cm_steer_plan *plan, const char *name)
+{
+	uint32_t i = 0;
+
+	while (i < plan->name_count && strcmp(plan->names[i].text, name) != 0)
+		i++;
+	return i;
+}
+
+/* Removes the routes that no longer send flows to a service. */
+static void remove_old_routes(struct cm_admission *admission,
+			      const struct cm_steer_plan *plan,
+			      uint32_t name_index)
+{
+	uint32_t i = 0;
+
+	while (i < admission->route_count) {
+		const struct cm_plan_route *route = cm_steer_plan_find_route(
+			plan, &admission->routes[i].address);
+
+		if (route && targets_service(plan, route, name_index))
+			i++;
+		else
+			cm_admission_remove_route(admission, i);
+	}
+}
+
+/* Removes the services to which the plan no longer applies this part. */
+static void remove_old_services(struct cm_steer_admissions *admissions,
+				const struct cm_steer_plan *plan)
+{
+	uint32_t i = 0;
+
+	while (i < admissions->count) {
+		uint32_t name_index =
+			find_name(plan, admissions->items[i].name);
+
+		if (name_index < plan->name_count &&
+		    has_different_priorities(plan, name_index)) {
+			remove_old_routes(&admissions->items[i].admission, plan,
+					  name_index);
+			i++;
+		} else {
+			admissions->items[i] =
+				admissions->items[--admissions->count];
+		}
+	}
+}
+
+static void add_service(struct cm_steer_admissions *admissions,
+			const struct cm_steer_plan *plan, uint32_t name_index,
+			uint64_t now_ms)
+{
+	uint64_t hash = cm_steer_name_hash(plan->names[name_index].text);
+	struct cm_admission_service *service = find_service(admissions, hash);
+
+	if (service) {
+		add_routes(&service->admission, plan, name_index, now_ms);
+		return;
+	}
+	if (admissions->count == CM_ADMISSION_SERVICES_MAX)
+		return;
+	service = &admissions->items[admissions->count++];
+	memset(service, 0, sizeof(*service));
+	memcpy(service->name, plan->names[name_index].text, CM_NAME_SIZE);
+	service->hash = hash;
+	cm_admission_init(&service->admission);
+	add_routes(&service->admission, plan, name_index, now_ms);
+}
+
+static void read_plan(struct cm_steer *steer, uint64_t now_ms)
+{
+	struct cm_steer_admissions *admissions = &steer->admissions;
+	const struct cm_steer_plan *plan = &steer->plan;
+
+	remove_old_services(admissions, plan);
+	for (uint32_t i = 0; i < plan->name_count; i++)
+		if (has_different_priorities(plan, i))
+			add_service(admissions, plan, i, now_ms);
+	admissions->plan_version = plan->version;
+}
+
+static uint64_t usable_slots(const struct cm_steer *steer,
+			     const struct cm_server_group *group,
+			     uint64_t now_ms)
+{
+	uint64_t slots = 0;
+
+	for (uint32_t i = 0; i < group->count; i++) {
+		const struct cm_steer_server *server = group->members[i];
+
+		if (cm_steer_server_is_usable(steer, server, now_ms) &&
+		    cm_server_health_may_get_flow(&server->health, now_ms))
+			slots += server->entry.slots;
+	}
+	return slots;
+}
+
+static uint32_t instances_of(const struct cm_steer *steer, uint64_t domain_hash)
+{
+	const struct cm_steer_domains *domains = &steer->peers.domains;
+	uint32_t index = cm_steer_domains_find(domains, domain_hash);
+
+	return index < domains->count ? domains->items[index].instances : 0;
+}
+
+/* Instances of the failure domains that have no usable server. */
+static uint32_t instances_without_server(const struct cm_steer *steer,
+					 const struct cm_server_pool *pool,
+					 uint64_t now_ms)
+{
+	const struct cm_server_group *group;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < steer->peers.domains.count; i++)
+		count += steer->peers.domains.items[i].instances;
+	LIST_FOREACH(group, &pool->groups, link)
+	if (usable_slots(steer, group, now_ms))
+		count -= instances_of(steer, group->domain_hash);
+	return count;
+}
+
+/*
+ * Share of this instance in the slots of its failure domain, or of the others
+ * if its own has no usable server. The instances of domains without a server
+ * share in every domain. 0 when the share is not known.
+ */
+static uint64_t own_capacity(const struct cm_steer *steer,
+			     const struct cm_server_pool *pool, uint64_t now_ms)
+{
+	uint32_t local = instances_of(steer, steer->domain_hash);
+	uint32_t others = instances_without_server(steer, pool, now_ms);
+	const struct cm_server_group *group;
+	uint64_t remote = 0;
+
+	if (!local)
+		return 0;
+	LIST_FOREACH(group, &pool->groups, link)
+	{
+		uint64_t slots = usable_slots(steer, group, now_ms);
+		uint32_t sharing =
+			instances_of(steer, group->domain_hash) + others;
+
+		if (!slots || !sharing)
+			continue;
+		if (group->domain_hash == steer->domain_hash)
+			return slots * US_PER_S / sharing;
+		remote += slots * US_PER_S / sharing;
+	}
+	return remote;
+}
+
+static void update_capacity(const struct cm_steer *steer,
+			    struct cm_admission_service *service,
+			    uint64_t now_ms)
+{
+	const struct cm_server_pool *pool;
+
+	if (service->capacity_ms &&
+	    now_ms < service->capacity_ms + CAPACITY_TTL_MS)
+		return;
+	pool = cm_server_pools_find(&steer->servers.pools, service->hash);
+	service->capacity = pool ? own_capacity(steer, pool, now_ms) : 0;
+	service->capacity_ms = now_ms;
+}
+
+/* Reports that don't fit are dropped; the totals go into the next one. */
+static void add_report(struct cm_steer_admissions *admissions,
+		       struct cm_admission_service *service,
+		       enum cm_admission_report_kind kind, uint64_t now_ms)
+{
+	const struct cm_admission *admission = &service->admission;
+	struct cm_admission_report *report;
+
+	if (admissions->report_count == CM_ADMISSION_REPORTS_MAX)
+		return;
+	report = &admissions->reports[admissions->report_count++];
+	report->kind = kind;
+	memcpy(report->service, service->name, CM_NAME_SIZE);
+	report->capacity = admission->capacity;
+	report->limit = admission->limit;
+	report->evidence = admission->evidence;
+	report->totals = service->totals;
+	report->lasted_ms = now_ms - admission->overloaded_ms;
+	memset(&service->totals, 0, sizeof(service->totals));
+	service->reported_ms = now_ms;
+}
+
+static void report_state(struct cm_steer *steer,
+			 struct cm_admission_service *service,
+			 bool was_overloaded, uint64_t now_ms)
+{
+	bool is_overloaded = service->admission.is_overloaded;
+
+	if (is_overloaded && !was_overloaded) {
+		cm_counters_add(&steer->counters, CM_C_STEER_OVERLOADS);
+		add_report(&steer->admissions, service, CM_ADMISSION_BEGAN,
+			   now_ms);
+	} else if (!is_overloaded && was_overloaded) {
+		add_report(&steer->admissions, service, CM_ADMISSION_ENDED,
+			   now_ms);
+	} else if (is_overloaded &&
+		   now_ms >= service->reported_ms + REPORT_INTERVAL_MS) {
+		add_report(&steer->admissions, service, CM_ADMISSION_LASTS,
+			   now_ms);
+	}
+}
+
+void cm_steer_admission_update(struct cm_steer *steer, uint64_t now_ms)
+{
+	struct cm_steer_admissions *admissions = &steer->admissions;
+
+	if (admissions->plan_version != steer->plan.version)
+		read_plan(steer, now_ms);
+	for (uint32_t i = 0; i < admissions->count; i++) {
+		struct cm_admission_service *service = &admissions->items[i];
+		bool was_overloaded = service->admission.is_overloaded;
+
+		if (!cm_admission_update_is_due(&service->admission, now_ms))
+			continue;
+		update_capacity(steer, service, now_ms);
+		cm_admission_update(&service->admission, now_ms,
+				    service->capacity);
+		report_state(steer, service, was_overloaded, now_ms);
+	}
+}
+
+static enum cm_admission_outcome
+decide(struct cm_admission_service *service, uint64_t now_ms,
+       const struct cm_admission_request *request)
+{
+	enum cm_admission_outcome outcome =
+		cm_admission_decide(&service->admission, now_ms, request);
+
+	if (!service->admission.is_overloaded)
+		return outcome;
+	if (outcome == CM_ADMISSION_ADMIT)
+		service->totals.admitted++;
+	else if (outcome == CM_ADMISSION_DEFER)
+		service->totals.deferred++;
+	else
+		service->totals.shed++;
+	return outcome;
+}
+
+static void refuse_flow(struct cm_admission *admission,
+			enum cm_admission_outcome outcome,
+			struct cm_steer_verdict *verdict)
+{
+	verdict->action = CM_STEER_DROP;
+	verdict->reason = CM_C_STEER_ADMISSION_DEFERRED;
+	if (outcome == CM_ADMISSION_DEFER)
+		return;
+	verdict->reason = CM_C_STEER_ADMISSION_SHED;
+	if (!cm_admission_take_reset(admission))
+		return;
+	verdict->action = CM_STEER_RESET;
+	verdict->reason = CM_C_STEER_ADMISSION_RESET;
+}
+
+static struct cm_admission_request
+syn_request(const struct cm_steer_packet *packet,
+	    const struct cm_route_demand *route)
+{
+	uint32_t last = COUNT_OF(syn_offsets_ms) - 1;
+	uint32_t repeats = packet->repeats < last ? packet->repeats : last;
+	struct cm_admission_request request = {
+		.route = route,
+		.elapsed_ms = syn_offsets_ms[repeats] + packet->held_ms,
+	};
+
+	if (repeats < last)
+		request.next_ms =
+			syn_offsets_ms[repeats + 1] - syn_offsets_ms[repeats];
+	return request;
+}
+
+enum cm_flow_admission cm_steer_admit_flow(struct cm_steer *steer,
+					   uint64_t now_ms,
+					   const struct cm_steer_packet *packet,
+					   const char *service_name,
+					   struct cm_steer_verdict *verdict)
+{
+	struct cm_admission_service *service = find_service(
+		&steer->admissions, cm_steer_name_hash(service_name));
+	struct cm_admission_request request;
+	enum cm_admission_outcome outcome;
+	struct cm_route_demand *route;
+
+	route = service ? cm_admission_find_route(&service->admission,
+						  &packet->key.service) :
+			  NULL;
+	if (!route || cm_route_demand_is_long(route))
+		return CM_FLOW_UNLIMITED;
+	if (!packet->repeats && !packet->held_ms)
+		cm_route_demand_started(route, now_ms);
+	if (!service->admission.is_overloaded)
+		return CM_FLOW_UNLIMITED;
+	request = syn_request(packet, route);
+	outcome = decide(service, now_ms, &request);
+	if (outcome == CM_ADMISSION_ADMIT)
+		return CM_FLOW_ADMITTED;
+	refuse_flow(&service->admission, outcome, verdict);
+	return CM_FLOW_REFUSED;
+}
+
+void cm_steer_admission_flow_placed(struct cm_steer *steer,
+				    const struct cm_steer_packet *packet,
+				    const char *service_name)
+{
+	struct cm_admission_service *service;
+	struct cm_route_demand *route;
+	struct cm_steer_flow *flow;
+
+	if (!steer->admissions.count)
+		return;
+	service = find_service(&steer->admissions,
+			       cm_steer_name_hash(service_name));
+	route = service ? cm_admission_find_route(&service->admission,
+						  &packet->key.service) :
+			  NULL;
+	flow = route ? cm_steer_flows_find(&steer->flows, &packet->key) : NULL;
+	if (flow)
+		flow->request.is_counted = !cm_route_demand_is_long(route);
+}
+
+/* Records the response that an acknowledgment may complete. */
+static void observe_ack(struct cm_steer *steer, uint64_t now_ms,
+			const struct cm_steer_packet *packet,
+			struct cm_admission_service *service,
+			struct cm_route_demand *route,
+			struct cm_steer_flow *flow)
+{
+	struct cm_flow_request *request = &flow->request;
+
+	if (!(packet->flags & CM_STEER_ACK) ||
+	    !cm_flow_request_acknowledge(request, packet->ack))
+		return;
+	if (request->state == CM_REQUEST_ANSWERED) {
+		cm_route_demand_answered(
+			route, now_ms,
+			(uint32_t)(steer->active_ms - request->began_ms),
+			cm_admission_is_calm(&service->admission));
+		return;
+	}
+	cm_route_demand_rejected(route, now_ms);
+	cm_admission_server_rejected(&service->admission, now_ms, flow->token);
+}
+
+static void observe_shape(const struct cm_steer_packet *packet,
+			  struct cm_route_demand *route,
+			  const struct cm_flow_request *request)
+{
+	if ((packet->flags & CM_STEER_FIN) && request->count == 1)
+		cm_route_demand_flow_shape(route, false);
+}
+
+/* Time until the caller sends a data packet again, ms. */
+static uint32_t next_data_ms(uint32_t elapsed_ms)
+{
+	for (size_t i = 0; i < COUNT_OF(data_offsets_ms); i++)
+		if (elapsed_ms < data_offsets_ms[i])
+			return data_offsets_ms[i] - elapsed_ms;
+	return DATA_INTERVAL_MS;
+}
+
+static bool may_defer_data(const struct cm_steer_packet *packet,
+			   const struct cm_route_demand *route,
+			   const struct cm_flow_request *request)
+{
+	if (packet->flags & (CM_STEER_FIN | CM_STEER_RST))
+		return false;
+	/*
+	 * An upload may continue after an interim response, and its later
+	 * packets belong to an admitted request.
+	 */
+	if (route->traits.kind == CM_ROUTE_UPLOAD)
+		return false;
+	return request->count || !request->is_counted;
+}
+
+/* Return: whether the request is admitted. */
+static bool admit_data(struct cm_steer *steer, uint64_t now_ms,
+		       const struct cm_steer_packet *packet,
+		       struct cm_admission_service *service,
+		       struct cm_route_demand *route,
+		       struct cm_flow_request *request,
+		       struct cm_steer_verdict *verdict)
+{
+	struct cm_admission_request asked = { .route = route };
+	enum cm_admission_outcome outcome = CM_ADMISSION_ADMIT;
+
+	if (!request->deferred_ms && (request->count || !request->is_counted))
+		cm_route_demand_started(route, now_ms);
+	if (may_defer_data(packet, route, request)) {
+		if (request->deferred_ms)
+			asked.elapsed_ms =
+				(uint32_t)(now_ms - request->deferred_ms);
+		asked.next_ms = next_data_ms(asked.elapsed_ms);
+		outcome = decide(service, now_ms, &asked);
+	}
+	if (outcome == CM_ADMISSION_ADMIT) {
+		if (request->count == 1)
+			cm_route_demand_flow_shape(route, true);
+		cm_flow_request_begin(request, steer->active_ms, packet->ack);
+		return true;
+	}
+	if (!request->deferred_ms)
+		request->deferred_ms = now_ms;
+	verdict->action = CM_STEER_DROP;
+	verdict->reason = outcome == CM_ADMISSION_DEFER ?
+				  CM_C_STEER_REQUEST_DEFERRED :
+				  CM_C_STEER_REQUEST_SHED;
+	return false;
+}
+
+bool cm_steer_admit_packet(struct cm_steer *steer, uint64_t now_ms,
+			   const struct cm_steer_packet *packet,
+			   const struct cm_steer_server *server,
+			   struct cm_steer_verdict *verdict)
+{
+	struct cm_admission_service *service =
+		find_service(&steer->admissions, server->service_hash);
+	struct cm_route_demand *route;
+	struct cm_steer_flow *flow;
+	bool is_admitted = true;
+
+	route = service ? cm_admission_find_route(&service->admission,
+						  &packet->key.service) :
+			  NULL;
+	flow = route ? cm_steer_flows_find(&steer->flows, &packet->key) : NULL;
+	if (!flow || flow->token != packet->token)
+		return true;
+	observe_ack(steer, now_ms, packet, service, route, flow);
+	if (packet->data_length &&
+	    cm_flow_request_is_next(&flow->request, packet->ack))
+		is_admitted = admit_data(steer, now_ms, packet, service, route,
+					 &flow->request, verdict);
+	observe_shape(packet, route, &flow->request);
+	return is_admitted;
+}
+
+uint32_t cm_steer_take_admission_reports(struct cm_steer *steer,
+					 struct cm_admission_report *reports)
+{
+	uint32_t count;
+
+	pthread_mutex_lock(&steer->lock);
+	count = steer->admissions.report_count;
+	memcpy(reports, steer->admissions.reports, count * sizeof(*reports));
+	steer->admissions.report_count = 0;
+	pthread_mutex_unlock(&steer->lock);
+	return count;
+}
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "chervilmast/steer_report.h"
+#include "steer_admission.h"
 #include "steer_internal.h"
 
 /**
@@ -257,6 +258,7 @@
 {
 	pthread_mutex_lock(&steer->lock);
 	cm_steer_advance_clock(steer, now_ms);
+	cm_steer_admission_update(steer, now_ms);
 	check_unanswered_syns(steer);
 	cm_steer_check_idle_flows(steer, now_ms);
 	if (now_ms > steer->config.flow_life_ms)
--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -16,6 +16,7 @@
 /** Constant and name of each switch, sorted by constant. */
 #define CM_SWITCHES(X)                            \
 	X(ADDRESS_CHECK, "address-check")         \
+	X(ADMISSION, "admission")                 \
 	X(ADMIT_CAP, "admit-cap")                 \
 	X(ADMIT_RATE, "admit-rate")               \
 	X(ANSWER_TIME, "answer-time")             \
--- a/src/daemon/steer_log.c
+++ b/src/daemon/steer_log.c
@@ -3,6 +3,9 @@
 #include "adapters/socket.h"
 #include "log.h"
 
+/** Divisor from us of work per second to thousandths of a slot. */
+#define US_PER_MS 1000
+
 static const enum cm_log_event change_events[] = {
 	[CM_STEER_CHANGE_UNANSWERED] = CM_EVENT_SYN_UNANSWERED,
 	[CM_STEER_CHANGE_SUSPECTED] = CM_EVENT_SERVER_SUSPECTED,
@@ -73,10 +76,46 @@
 		       change->unanswered_syns);
 }
 
+static void log_admission_report(const struct cm_admission_report *report)
+{
+	static const char *const states[] = {
+		[CM_ADMISSION_BEGAN] = "began",
+		[CM_ADMISSION_LASTS] = "lasts",
+		[CM_ADMISSION_ENDED] = "ended",
+	};
+	const struct cm_admission_evidence *evidence = &report->evidence;
+
+	cm_log(CM_EVENT_OVERLOAD,
+	       "service=%s state=%s lasted_ms=%llu demand_slots_milli=%llu "
+	       "capacity_slots_milli=%llu limit_slots_milli=%llu "
+	       "completed_slots_milli=%llu requests_per_s=%u answered=%u "
+	       "rejected=%u slowness_per_mille=%u admitted=%u deferred=%u "
+	       "shed=%u",
+	       report->service, states[report->kind],
+	       (unsigned long long)report->lasted_ms,
+	       (unsigned long long)(evidence->demand / US_PER_MS),
+	       (unsigned long long)(report->capacity / US_PER_MS),
+	       (unsigned long long)(report->limit / US_PER_MS),
+	       (unsigned long long)(evidence->completed / US_PER_MS),
+	       evidence->started, evidence->answered, evidence->rejected,
+	       evidence->slowness_per_mille, report->totals.admitted,
+	       report->totals.deferred, report->totals.shed);
+}
+
+static void log_admission_reports(struct cm_steer *steer)
+{
+	static struct cm_admission_report reports[CM_ADMISSION_REPORTS_MAX];
+	uint32_t count = cm_steer_take_admission_reports(steer, reports);
+
+	for (uint32_t i = 0; i < count; i++)
+		log_admission_report(&reports[i]);
+}
+
 void cm_steer_log_changes(struct cm_steer *steer)
 {
 	static struct cm_steer_changes changes;
 
+	log_admission_reports(steer);
 	cm_steer_take_changes(steer, &changes);
 	for (uint32_t i = 0; i < changes.count; i++)
 		log_change(&changes.items[i]);
