Require slow responses in relation to the objective as evidence of overload

Cause: with 24 instances a single one sees 28 requests in a second, and a chance surge together with a few slow responses began an overload at 90 percent load. Change: slow responses count only above a third of the objective and after 300 ms; a surge of the last 500 ms counts only above a standard deviation.

--- a/include/chervilmast/admission.h
+++ b/include/chervilmast/admission.h
@@ -31,20 +31,26 @@
 /**
  * struct cm_admission_evidence - what an update has seen
  * @demand: work of the requests that started in the last second
+ * @recent_demand: work of the recent requests
  * @completed: work of the requests that were answered in the last second
  * @started: number of requests that started in the last second
+ * @recent_started: number of recent requests
  * @answered: number of recent responses other than rejections
  * @rejected: number of recent rejections
  * @slowness_per_mille: mean of the recent response times, thousandths of the
  *                      usual ones; 0 for none
+ * @is_slow: the recent response times show an overload
  */
 struct cm_admission_evidence {
 	uint64_t demand;
+	uint64_t recent_demand;
 	uint64_t completed;
 	uint32_t started;
+	uint32_t recent_started;
 	uint32_t answered;
 	uint32_t rejected;
 	uint32_t slowness_per_mille;
+	bool is_slow;
 };
 
 /**
@@ -65,6 +71,7 @@
  * @counted_ms: since when requests are counted without a pause, ms
  * @refilled_ms: when the credit was last refilled, ms
  * @exceeded_ms: since when demand exceeds capacity, ms; 0 when it does not
+ * @slow_ms: since when responses take too long, ms; 0 when they don't
  * @covered_ms: since when demand is clearly covered, ms; 0 when it is not
  * @overloaded_ms: when the overload began, ms
  * @rejecting: token of the server that rejected last
@@ -87,6 +94,7 @@
 	uint64_t counted_ms;
 	uint64_t refilled_ms;
 	uint64_t exceeded_ms;
+	uint64_t slow_ms;
 	uint64_t covered_ms;
 	uint64_t overloaded_ms;
 	uint32_t rejecting;
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -20,13 +20,22 @@
 #define COVERED_PER_MILLE 850
 /** Response time that shows an overload, thousandths of the usual one. */
 #define SLOW_PER_MILLE 2000
+/**
+ * Response times show an overload only above the objective divided by this.
+ * Well below the objective, waiting costs callers nothing.
+ */
+#define OBJECTIVE_DIVISOR 3
 /** Response time at which the limit is lowered, thousandths of the usual one.
  */
-#define TOO_SLOW_PER_MILLE 3000
-/** Response time that shows free slots, thousandths of the usual one. */
+#define TOO_SLOW_PER_MILLE 3500
+/** Response time below which the limit is raised, thousandths of the usual. */
+#define RAISE_PER_MILLE 2500
+/**
+ * Response time below which servers have free slots, thousandths of the usual.
+ */
 #define FAST_PER_MILLE 1500
 /** Minimum number of responses for a mean that counts as evidence. */
-#define ANSWERED_MIN 4
+#define ANSWERED_MIN 8
 /** Minimum number of rejections that count as evidence. */
 #define REJECTED_MIN 2
 /** Share of rejections, of all responses, that counts as evidence. */
@@ -42,6 +51,8 @@
 #define RAISE_FAST_DIVISOR 16
 /** The limit is not lowered below the capacity divided by this. */
 #define LIMIT_MIN_DIVISOR 2
+/** Part of the completed work by which the limit may be lower. */
+#define QUEUE_DIVISOR 8
 /** Time whose work may be admitted at once, ms; a fraction of an objective. */
 #define BURST_MS 100
 /** Maximum time for which credit is refilled at once, ms. */
@@ -151,71 +162,111 @@
 	return (uint64_t)count * work_us * MS_PER_S / span_ms;
 }
 
+/**
+ * struct recent_times - sums over the recent responses
+ * @took_ms: their times, ms
+ * @usual_us: usual times of their routes, us
+ * @objective_ms: objectives of their routes, ms
+ */
+struct recent_times {
+	uint64_t took_ms;
+	uint64_t usual_us;
+	uint64_t objective_ms;
+};
+
 /*
  * Adds a route to the evidence. Its requests count only once their work is
  * known: until then the demand is underestimated, so that nothing is refused.
  */
 static void add_route_evidence(struct cm_admission_evidence *evidence,
+			       struct recent_times *times,
 			       const struct cm_route_demand *route,
-			       uint64_t now_ms, uint64_t *usual_us,
-			       uint64_t *took_ms)
+			       uint64_t now_ms)
 {
 	struct cm_demand_count last_s, recent;
 	uint32_t span_ms = cm_route_demand_count(route, now_ms,
 						 CM_DEMAND_WINDOWS, &last_s);
+	uint32_t recent_ms = cm_route_demand_count(
+		route, now_ms, CM_DEMAND_RECENT_WINDOWS, &recent);
 
-	cm_route_demand_count(route, now_ms, CM_DEMAND_RECENT_WINDOWS, &recent);
 	evidence->rejected += recent.rejected;
 	if (!cm_route_demand_work_is_known(route))
 		return;
 	evidence->demand += work_per_s(last_s.started, route->work_us, span_ms);
+	evidence->recent_demand +=
+		work_per_s(recent.started, route->work_us, recent_ms);
 	evidence->completed +=
 		work_per_s(last_s.answered, route->work_us, span_ms);
 	evidence->started += last_s.started;
+	evidence->recent_started += recent.started;
 	evidence->answered += recent.answered;
-	*usual_us += (uint64_t)recent.answered * route->usual_us;
-	*took_ms += recent.answer_ms;
+	times->took_ms += recent.answer_ms;
+	times->usual_us += (uint64_t)recent.answered * route->usual_us;
+	times->objective_ms += (uint64_t)recent.answered * route->objective_ms;
 }
 
 static void collect_evidence(struct cm_admission *admission, uint64_t now_ms)
 {
 	struct cm_admission_evidence *evidence = &admission->evidence;
-	uint64_t usual_us = 0, took_ms = 0;
+	struct recent_times times = { 0 };
 
 	memset(evidence, 0, sizeof(*evidence));
 	for (uint32_t i = 0; i < admission->route_count; i++)
-		add_route_evidence(evidence, &admission->routes[i], now_ms,
-				   &usual_us, &took_ms);
-	if (evidence->answered >= ANSWERED_MIN && usual_us)
-		evidence->slowness_per_mille =
-			(uint32_t)(took_ms * US_PER_MS * PER_MILLE / usual_us);
+		add_route_evidence(evidence, &times, &admission->routes[i],
+				   now_ms);
+	if (evidence->answered < ANSWERED_MIN || !times.usual_us)
+		return;
+	evidence->slowness_per_mille = (uint32_t)(times.took_ms * US_PER_MS *
+						  PER_MILLE / times.usual_us);
+	evidence->is_slow =
+		evidence->slowness_per_mille > SLOW_PER_MILLE &&
+		times.took_ms * OBJECTIVE_DIVISOR > times.objective_ms;
 }
 
 /*
- * Whether demand exceeds capacity by more than half a standard deviation of the
- * number of requests: an instance sees few requests in a second.
+ * Whether a demand exceeds capacity by more than a standard deviation of the
+ * number of requests, divided by @divisor: an instance sees few requests.
  */
-static bool is_exceeded(const struct cm_admission *admission)
+static bool exceeds_capacity(const struct cm_admission *admission,
+			     uint64_t demand_us, uint32_t started,
+			     uint32_t divisor)
 {
-	const struct cm_admission_evidence *evidence = &admission->evidence;
-	uint64_t demand = evidence->demand / US_PER_MS;
+	uint64_t demand = demand_us / US_PER_MS;
 	uint64_t capacity = admission->capacity / US_PER_MS;
 
 	if (!capacity || demand <= capacity)
 		return false;
-	return (demand - capacity) * (demand - capacity) * 4 *
-		       evidence->started >
+	return (demand - capacity) * (demand - capacity) * divisor * divisor *
+		       started >
 	       demand * demand;
 }
 
-static bool servers_reject(const struct cm_admission *admission,
-			   uint64_t now_ms)
+/*
+ * The recent demand shows the begin of a surge sooner, and the demand of the
+ * last second shows a small excess more clearly.
+ */
+static bool is_exceeded(const struct cm_admission *admission)
 {
 	const struct cm_admission_evidence *evidence = &admission->evidence;
 
-	return evidence->rejected >= REJECTED_MIN &&
-	       evidence->rejected * REJECTED_DIVISOR >=
-		       evidence->rejected + evidence->answered &&
+	return exceeds_capacity(admission, evidence->demand, evidence->started,
+				2) ||
+	       exceeds_capacity(admission, evidence->recent_demand,
+				evidence->recent_started, 1);
+}
+
+static bool rejections_are_many(const struct cm_admission_evidence *evidence)
+{
+	return evidence->rejected * REJECTED_DIVISOR >
+	       evidence->rejected + evidence->answered;
+}
+
+/* A single server that rejects requests may be faulty. */
+static bool servers_reject(const struct cm_admission *admission,
+			   uint64_t now_ms)
+{
+	return admission->evidence.rejected >= REJECTED_MIN &&
+	       rejections_are_many(&admission->evidence) &&
 	       admission->rejecting_others_ms &&
 	       now_ms < admission->rejecting_others_ms + REJECTING_MS;
 }
@@ -224,7 +275,8 @@
 				    uint64_t now_ms)
 {
 	return servers_reject(admission, now_ms) ||
-	       admission->evidence.slowness_per_mille > SLOW_PER_MILLE;
+	       (admission->slow_ms &&
+		now_ms >= admission->slow_ms + EXCEEDED_MS);
 }
 
 static uint64_t max_u64(uint64_t a, uint64_t b)
@@ -253,25 +305,28 @@
 }
 
 /*
- * What servers have completed is a measured lower bound of what they can, so
- * the limit is not lowered below it.
+ * What servers have completed is a measured lower bound of what they can. The
+ * limit may be a little lower, so that full queues become shorter.
  */
 static uint64_t least_limit(const struct cm_admission *admission)
 {
+	uint64_t completed = admission->evidence.completed;
+
 	return max_u64(admission->capacity / LIMIT_MIN_DIVISOR,
-		       admission->evidence.completed);
+		       completed - completed / QUEUE_DIVISOR);
 }
 
-static void adapt_limit(struct cm_admission *admission, uint64_t now_ms)
+static void adapt_limit(struct cm_admission *admission)
 {
 	uint32_t slowness = admission->evidence.slowness_per_mille;
 	uint64_t least = least_limit(admission);
 
-	if (servers_reject(admission, now_ms) || slowness > TOO_SLOW_PER_MILLE)
+	if (rejections_are_many(&admission->evidence) ||
+	    slowness > TOO_SLOW_PER_MILLE)
 		admission->limit -= admission->limit / LOWER_DIVISOR;
 	else if (slowness < FAST_PER_MILLE && !admission->evidence.rejected)
 		admission->limit += admission->limit / RAISE_FAST_DIVISOR;
-	else if (slowness < SLOW_PER_MILLE)
+	else if (slowness < RAISE_PER_MILLE)
 		admission->limit += admission->limit / RAISE_DIVISOR;
 	if (admission->limit < least)
 		admission->limit = least;
@@ -314,6 +369,7 @@
 	for (uint32_t i = 0; i < admission->route_count; i++)
 		cm_route_demand_restart(&admission->routes[i], now_ms);
 	admission->counted_ms = now_ms;
+	admission->slow_ms = 0;
 	admission->rejecting_ms = 0;
 	admission->rejecting_others_ms = 0;
 	end_overload(admission);
@@ -337,11 +393,12 @@
 		    now_ms >= admission->counted_ms + COUNTED_MS &&
 			    is_exceeded(admission),
 		    now_ms);
+	track_since(&admission->slow_ms, admission->evidence.is_slow, now_ms);
 	if (!admission->is_overloaded) {
 		check_begin(admission, now_ms);
 		return;
 	}
-	adapt_limit(admission, now_ms);
+	adapt_limit(admission);
 	check_end(admission, now_ms);
 }
 
--- a/tests/unit/overload_model.h
+++ b/tests/unit/overload_model.h
@@ -14,7 +14,7 @@
 #include "chervilmast/steer.h"
 
 /** Maximum number of instances. */
-#define OVERLOAD_INSTANCES_MAX 8
+#define OVERLOAD_INSTANCES_MAX 24
 /** Number of servers. */
 #define OVERLOAD_SERVERS 20
 /** Slots of a server. */
--- a/tests/unit/test_steer_admission.c
+++ b/tests/unit/test_steer_admission.c
@@ -3,7 +3,7 @@
 
 #include "unit/overload_model.h"
 
-#define INSTANCES 4
+#define INSTANCES 24
 #define SEED 7
 /* Usual load, percent of the slots, and the same times 1.8, 2 and 3.2. */
 #define LOAD 50
@@ -45,14 +45,12 @@
 
 TEST(trial)
 {
-	static const uint32_t loads[] = { LOAD,	  70,  LOAD_1_8,
-					  LOAD_2, 120, LOAD_3_2 };
+	static const uint32_t loads[] = { 80, LOAD_1_8, LOAD_2, 110, 120, LOAD_3_2, 250 };
 
 	for (int i = 0; i < COUNT_OF(loads); i++)
 		for (int on = 0; on < 2; on++) {
 			char what[40];
-			snprintf(what, 40, "load %u %s", loads[i],
-				 on ? "with" : "without");
+			snprintf(what, 40, "load %u %s", loads[i], on ? "with" : "without");
 			run_overload(what, on, loads[i], 8000);
 			overload_teardown();
 		}
