Play loads with admission against a model of servers and callers

Cause: the trial had no assertions, and one instance in four of the model got most of the requests, as long flows were reused in the order of the table. The limit starts with the work that waits at the servers as debt, and surges of 300 ms count. Not covered: instances lost during an overload, as requests on flows that an instance does not know are not limited until the load part adopts such flows.

--- a/include/chervilmast/flow_request.h
+++ b/include/chervilmast/flow_request.h
@@ -31,7 +31,7 @@
  * @count: number of requests on the flow
  * @is_counted: the request of the flow's SYN was counted and admitted, so that
  *              its first data packet is not decided on
- * @began_ms: when it began, by the active clock, ms
+ * @began_ms: when it began, by the active clock, ms; 0 when unknown
  * @first_ack: acknowledgment number when it began
  * @last_ack: latest acknowledgment number
  * @deferred_ms: when the first data packet of a request that is not admitted
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -12,6 +12,8 @@
  * After a pause, the packets that waited are no longer in the counts then.
  */
 #define COUNTED_MS (CM_DEMAND_WINDOWS * CM_DEMAND_WINDOW_MS)
+/** Number of windows in which a surge of demand shows. */
+#define SURGE_WINDOWS 3
 /** Time for which demand must exceed capacity before an overload begins, ms. */
 #define EXCEEDED_MS 300
 /** Time for which demand must be covered before an overload ends, ms. */
@@ -24,7 +26,7 @@
  * Response times show an overload only above the objective divided by this.
  * Well below the objective, waiting costs callers nothing.
  */
-#define OBJECTIVE_DIVISOR 3
+#define OBJECTIVE_DIVISOR 2
 /** Response time at which the limit is lowered, thousandths of the usual one.
  */
 #define TOO_SLOW_PER_MILLE 3500
@@ -37,7 +39,7 @@
 /** Minimum number of responses for a mean that counts as evidence. */
 #define ANSWERED_MIN 8
 /** Minimum number of rejections that count as evidence. */
-#define REJECTED_MIN 2
+#define REJECTED_MIN 3
 /** Share of rejections, of all responses, that counts as evidence. */
 #define REJECTED_DIVISOR 20
 /** Time for which a server that rejected counts as one of several, ms. */
@@ -46,13 +48,13 @@
  * Divisors of the steps of the limit at an update. The limit is lowered slowly,
  * as its effect on responses shows only after they have left the queues.
  */
-#define LOWER_DIVISOR 32
+#define LOWER_DIVISOR 16
 #define RAISE_DIVISOR 64
 #define RAISE_FAST_DIVISOR 16
 /** The limit is not lowered below the capacity divided by this. */
 #define LIMIT_MIN_DIVISOR 2
 /** Part of the completed work by which the limit may be lower. */
-#define QUEUE_DIVISOR 8
+#define QUEUE_DIVISOR 4
 /** Time whose work may be admitted at once, ms; a fraction of an objective. */
 #define BURST_MS 100
 /** Maximum time for which credit is refilled at once, ms. */
@@ -62,7 +64,9 @@
 /** Time whose reserve may be saved up, ms. */
 #define RESERVE_SAVED_MS 500
 /** Bursts that the first rank may take before they are refilled. */
-#define DEBT_BURSTS 2
+#define DEBT_BURSTS 3
+/** Bursts of work that wait at the servers when an overload begins. */
+#define BACKLOG_BURSTS 2
 /** Part of a burst that separates requests of a rank by their age. */
 #define AGE_DIVISOR 4
 /** Resets per admitted request, thousandths. */
@@ -183,22 +187,24 @@
 			       const struct cm_route_demand *route,
 			       uint64_t now_ms)
 {
-	struct cm_demand_count last_s, recent;
+	struct cm_demand_count last_s, recent, surge;
 	uint32_t span_ms = cm_route_demand_count(route, now_ms,
 						 CM_DEMAND_WINDOWS, &last_s);
-	uint32_t recent_ms = cm_route_demand_count(
-		route, now_ms, CM_DEMAND_RECENT_WINDOWS, &recent);
+	uint32_t surge_ms =
+		cm_route_demand_count(route, now_ms, SURGE_WINDOWS, &surge);
+
+	cm_route_demand_count(route, now_ms, CM_DEMAND_RECENT_WINDOWS, &recent);
 
 	evidence->rejected += recent.rejected;
 	if (!cm_route_demand_work_is_known(route))
 		return;
 	evidence->demand += work_per_s(last_s.started, route->work_us, span_ms);
 	evidence->recent_demand +=
-		work_per_s(recent.started, route->work_us, recent_ms);
+		work_per_s(surge.started, route->work_us, surge_ms);
 	evidence->completed +=
 		work_per_s(last_s.answered, route->work_us, span_ms);
 	evidence->started += last_s.started;
-	evidence->recent_started += recent.started;
+	evidence->recent_started += surge.started;
 	evidence->answered += recent.answered;
 	times->took_ms += recent.answer_ms;
 	times->usual_us += (uint64_t)recent.answered * route->usual_us;
@@ -225,19 +231,17 @@
 
 /*
  * Whether a demand exceeds capacity by more than a standard deviation of the
- * number of requests, divided by @divisor: an instance sees few requests.
+ * number of requests: an instance sees few requests.
  */
 static bool exceeds_capacity(const struct cm_admission *admission,
-			     uint64_t demand_us, uint32_t started,
-			     uint32_t divisor)
+			     uint64_t demand_us, uint32_t started)
 {
 	uint64_t demand = demand_us / US_PER_MS;
 	uint64_t capacity = admission->capacity / US_PER_MS;
 
 	if (!capacity || demand <= capacity)
 		return false;
-	return (demand - capacity) * (demand - capacity) * divisor * divisor *
-		       started >
+	return (demand - capacity) * (demand - capacity) * started >
 	       demand * demand;
 }
 
@@ -249,10 +253,10 @@
 {
 	const struct cm_admission_evidence *evidence = &admission->evidence;
 
-	return exceeds_capacity(admission, evidence->demand, evidence->started,
-				2) ||
+	return exceeds_capacity(admission, evidence->demand,
+				evidence->started) ||
 	       exceeds_capacity(admission, evidence->recent_demand,
-				evidence->recent_started, 1);
+				evidence->recent_started);
 }
 
 static bool rejections_are_many(const struct cm_admission_evidence *evidence)
@@ -284,6 +288,11 @@
 	return a > b ? a : b;
 }
 
+static int64_t burst(const struct cm_admission *admission)
+{
+	return (int64_t)(admission->limit / MS_PER_S * BURST_MS);
+}
+
 static void begin_overload(struct cm_admission *admission, uint64_t now_ms)
 {
 	admission->is_overloaded = true;
@@ -291,7 +300,7 @@
 	admission->covered_ms = 0;
 	admission->limit =
 		max_u64(admission->capacity, admission->evidence.completed);
-	admission->credit = 0;
+	admission->credit = -BACKLOG_BURSTS * burst(admission);
 	admission->refilled_ms = now_ms;
 	memset(admission->reserve, 0, sizeof(admission->reserve));
 	admission->reset_credit = 0;
@@ -402,11 +411,6 @@
 	check_end(admission, now_ms);
 }
 
-static int64_t burst(const struct cm_admission *admission)
-{
-	return (int64_t)(admission->limit / MS_PER_S * BURST_MS);
-}
-
 static int64_t limited(int64_t value, int64_t max)
 {
 	return value < max ? value : max;
--- a/src/core/steer_admission.c
+++ b/src/core/steer_admission.c
@@ -406,6 +406,8 @@
 	if (!(packet->flags & CM_STEER_ACK) ||
 	    !cm_flow_request_acknowledge(request, packet->ack))
 		return;
+	if (!request->began_ms)
+		return;
 	if (request->state == CM_REQUEST_ANSWERED) {
 		cm_route_demand_answered(
 			route, now_ms,
@@ -501,6 +503,12 @@
 	flow = route ? cm_steer_flows_find(&steer->flows, &packet->key) : NULL;
 	if (!flow || flow->token != packet->token)
 		return true;
+	/*
+	 * The caller sent data before its requests were observed, so that this
+	 * packet may continue a request.
+	 */
+	if (flow->has_request && !flow->request.count)
+		cm_flow_request_begin(&flow->request, 0, flow->last_ack);
 	observe_ack(steer, now_ms, packet, service, route, flow);
 	if (packet->data_length &&
 	    cm_flow_request_is_next(&flow->request, packet->ack))
--- a/tests/unit/overload_model.c
+++ b/tests/unit/overload_model.c
@@ -11,7 +11,7 @@
 #define TICK_MS 25
 #define START_MS 100000
 #define REQUESTS_MAX 8192
-#define FLOWS_MAX 8192
+#define FLOWS_MAX 4096
 #define QUEUE_MAX 8
 #define RETRIES_MAX 2
 #define RETRY_DELAY_MS 10
@@ -288,11 +288,17 @@
 	ck_abort_msg("too many flows");
 }
 
+/* Chooses at random, so that the requests of all flows reach all instances. */
 static struct model_flow *idle_flow(enum overload_route route)
 {
-	for (uint32_t i = 0; route == OVERLOAD_BULK && i < FLOWS_MAX; i++)
-		if (flows[i].is_used && flows[i].idle_ms)
-			return &flows[i];
+	uint32_t first = fake_random_below(&random_state, FLOWS_MAX);
+
+	for (uint32_t i = 0; route == OVERLOAD_BULK && i < FLOWS_MAX; i++) {
+		struct model_flow *flow = &flows[(first + i) % FLOWS_MAX];
+
+		if (flow->is_used && flow->idle_ms)
+			return flow;
+	}
 	return NULL;
 }
 
