--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -208,6 +208,8 @@
 	  "new flows reset because no route has their destination")            \
 	X(STEER_NO_PLAN, "steer_no_plan",                                      \
 	  "new flows reset because this instance has no plan yet")             \
+	X(STEER_NO_PLAN_LATE, "steer_no_plan_late",                            \
+	  "SYNs dropped without a plan because they waited too long to reset") \
 	X(STEER_PROBES, "steer_probes",                                        \
 	  "probe connections to suspected servers, or to any if none answers") \
 	X(STEER_NO_SERVER, "steer_no_server",                                  \
@@ -218,6 +220,16 @@
 	  "packets of open flows dropped because they carry no token")         \
 	X(STEER_UNKNOWN_TOKEN, "steer_unknown_token",                          \
 	  "packets of open flows dropped because no server has their token")   \
+	X(STEER_GONE_DRAINED, "steer_gone_drained",                            \
+	  "open flows reset as their server was removed after draining")       \
+	X(STEER_GONE_REPLACED, "steer_gone_replaced",                          \
+	  "open flows reset as a later run of their server is registered")     \
+	X(STEER_GONE_REMOVED, "steer_gone_removed",                            \
+	  "open flows reset as their server was removed without draining")     \
+	X(STEER_GONE_DOWN, "steer_gone_down",                                  \
+	  "open flows reset as several instances found their server down")     \
+	X(STEER_GONE_SILENT, "steer_gone_silent",                              \
+	  "open flows reset as their server answers neither SYNs nor data")    \
 	X(STEER_FLOW_FORGOTTEN, "steer_flow_forgotten",                        \
 	  "flows evicted because the flow table was full")                     \
 	X(STEER_FLOW_FAILED, "steer_flow_failed",                              \
--- a/include/chervilmast/steer_packet.h
+++ b/include/chervilmast/steer_packet.h
@@ -29,6 +29,7 @@
  * @flags: CM_STEER_SYN, CM_STEER_ACK, CM_STEER_FIN and CM_STEER_RST bits
  * @repeats: number of earlier SYNs of this flow, as the packet states it
  * @data_length: bytes of data
+ * @seq: number of the first byte of data
  * @ack: number of the next byte that the caller expects; valid with
  *       CM_STEER_ACK
  * @waited_ms: upper bound of the time that the packet spent in the receive
@@ -42,6 +43,7 @@
 	uint8_t flags;
 	uint32_t repeats;
 	uint32_t data_length;
+	uint32_t seq;
 	uint32_t ack;
 	uint32_t waited_ms;
 	uint32_t held_ms;
@@ -68,11 +70,14 @@
  * @reason: counter of the reason; CM_C_STEER_PLACED, CM_C_STEER_PLACED_AGAIN,
  *          CM_C_STEER_SYN_REPEATED or CM_C_STEER_BY_TOKEN when it is forwarded
  * @token: token to write into the packet, when it is forwarded
- * @server_id: id of the server, when it is forwarded
+ * @server_id: id of the server, when it is forwarded, or of the server that is
+ *             gone
  * @server: where the server receives datagrams, when it is forwarded
  * @service: service of a new flow; empty where it is not known
  * @plan_version: version of the plan that the decision used
  * @registry_age_ms: age of the registry data, ms
+ * @evidence_age_ms: time since when the server of an open flow that is reset
+ *                   counts as gone, ms; else 0
  */
 struct cm_steer_verdict {
 	enum cm_steer_action action;
@@ -83,6 +88,7 @@
 	char service[CM_NAME_SIZE];
 	uint64_t plan_version;
 	uint64_t registry_age_ms;
+	uint64_t evidence_age_ms;
 };
 
 #endif
--- a/include/chervilmast/steer_server.h
+++ b/include/chervilmast/steer_server.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
+#include "chervilmast/data_watch.h"
 #include "chervilmast/flow_key.h"
 #include "chervilmast/note.h"
 #include "chervilmast/server_health.h"
@@ -64,6 +65,10 @@
  * @domain_hash: hash of the name of its failure domain
  * @listing: registration state
  * @listing_changed_ms: when @listing last changed, ms
+ * @removed_ms: when its entry last disappeared, ms
+ * @is_replaced: a later run under the same id was registered
+ * @acked_ms: when a caller last acknowledged new bytes of it at this instance,
+ *            ms; 0 for never
  * @cold_until_ms: end of its cold start, ms
  * @cold_tokens: token bucket for new flows during its cold start, thousandths
  *               of a flow
@@ -72,6 +77,9 @@
  *              until their end or until the SYN counts as unanswered
  * @choice_seq: sequence number of the last choice of the server
  * @health: health as this instance observes it
+ * @watch: data that the server may not have acknowledged
+ * @observations: number of observations by which it was silent at the last
+ * tick, to be reported to the source
  * @by_token: link in the bucket of its token
  * @by_id: link in the bucket of its id
  * @link: link in the list of all servers
@@ -89,12 +97,17 @@
 	uint64_t domain_hash;
 	enum cm_listing listing;
 	uint64_t listing_changed_ms;
+	uint64_t removed_ms;
+	bool is_replaced;
+	uint64_t acked_ms;
 	uint64_t cold_until_ms;
 	uint64_t cold_tokens;
 	uint64_t cold_refilled_ms;
 	uint32_t open_flows;
 	uint64_t choice_seq;
 	struct cm_server_health health;
+	struct cm_data_watch watch;
+	uint32_t observations;
 	LIST_ENTRY(cm_steer_server) by_token;
 	LIST_ENTRY(cm_steer_server) by_id;
 	TAILQ_ENTRY(cm_steer_server) link;
@@ -119,6 +132,8 @@
  * @count: number of servers in @all
  * @earliest_left_ms: lower bound of the times at which servers in @all left,
  *                    ms; 0 when none has left
+ * @listing_changes: number of changes of @listing and removals of servers
+ * @lapsed_count: number of servers in @all that are CM_LAPSED
  */
 struct cm_steer_servers {
 	struct cm_steer_server_list all;
@@ -128,6 +143,8 @@
 	struct cm_steer_server_bucket by_id[CM_STEER_SERVER_BUCKETS];
 	uint32_t count;
 	uint64_t earliest_left_ms;
+	uint64_t listing_changes;
+	uint32_t lapsed_count;
 };
 
 /**
@@ -213,6 +230,14 @@
 				  struct cm_steer_server *server,
 				  enum cm_listing listing, uint64_t now_ms);
 
+/**
+ * cm_steer_servers_end_lapses() - mark all servers whose entry lapsed as left
+ * @servers: the table
+ * @now_ms: current time, ms
+ */
+void cm_steer_servers_end_lapses(struct cm_steer_servers *servers,
+				 uint64_t now_ms);
+
 /**
  * cm_steer_servers_add_suspect() - add a server to the list of suspects
  * @servers: the table
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -49,13 +49,6 @@
 	pthread_mutex_destroy(&steer->lock);
 }
 
-static bool registry_data_is_fresh(const struct cm_steer *steer,
-				   uint64_t now_ms)
-{
-	return now_ms <=
-	       steer->registry_confirmed_ms + steer->config.registry_fresh_ms;
-}
-
 static void set_verdict(struct cm_steer_verdict *verdict,
 			enum cm_steer_action action, enum cm_counter reason)
 {
@@ -63,17 +56,38 @@
 	verdict->reason = reason;
 }
 
+/*
+ * Whether the caller may have repeated the SYN since it was received, or given
+ * up after the last one. The repeated SYN may have opened the flow at another
+ * instance.
+ */
+static bool caller_may_have_repeated(const struct cm_steer_packet *packet)
+{
+	uint32_t repeats = packet->repeats;
+	uint32_t interval_ms =
+		repeats < SYN_REPEATS ?
+			syn_offset_ms[repeats + 1] - syn_offset_ms[repeats] :
+			LAST_SYN_TIMEOUT_MS;
+
+	return (uint64_t)packet->waited_ms + packet->held_ms >= interval_ms;
+}
+
 /*
  * Refuses a SYN. A reset ends the caller's connection attempt, so with outdated
- * registry data the SYN is dropped instead. Without a plan the SYN is reset in
- * any case, as the caller's next attempt may reach another instance.
+ * registry data the SYN is dropped instead. Without a plan the SYN is reset, as
+ * the caller's next attempt may reach another instance, unless it waited so
+ * long that the reset could end a flow opened at another instance meanwhile.
  */
 static void refuse(const struct cm_steer *steer, uint64_t now_ms,
-		   enum cm_counter reason, struct cm_steer_verdict *verdict)
+		   const struct cm_steer_packet *packet, enum cm_counter reason,
+		   struct cm_steer_verdict *verdict)
 {
-	if (!steer->plan.version)
+	if (!steer->plan.version && caller_may_have_repeated(packet) &&
+	    !cm_switched_off(CM_SWITCH_NO_PLAN_SYN))
+		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_NO_PLAN_LATE);
+	else if (!steer->plan.version)
 		set_verdict(verdict, CM_STEER_RESET, CM_C_STEER_NO_PLAN);
-	else if (registry_data_is_fresh(steer, now_ms))
+	else if (cm_steer_registry_is_fresh(steer, now_ms))
 		set_verdict(verdict, CM_STEER_RESET, reason);
 	else
 		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_STALE);
@@ -258,7 +272,7 @@
 		return;
 	}
 	if (!server) {
-		refuse(steer, now_ms, CM_C_STEER_NO_SERVER, verdict);
+		refuse(steer, now_ms, packet, CM_C_STEER_NO_SERVER, verdict);
 		return;
 	}
 	cm_steer_record_choice(steer, server, now_ms);
@@ -281,7 +295,7 @@
 {
 	return steer->registry_confirmed_ms &&
 	       !steer->is_registry_unreachable &&
-	       !registry_data_is_fresh(steer, now_ms) &&
+	       !cm_steer_registry_is_fresh(steer, now_ms) &&
 	       packet->held_ms < REFRESH_HOLD_MAX_MS;
 }
 
@@ -300,7 +314,7 @@
 		return;
 	}
 	if (!route) {
-		refuse(steer, now_ms, CM_C_STEER_NO_ROUTE, verdict);
+		refuse(steer, now_ms, packet, CM_C_STEER_NO_ROUTE, verdict);
 		return;
 	}
 	if (flow && packet->repeats &&
@@ -392,8 +406,11 @@
 		return;
 	if (!flow->is_open && !(packet->flags & CM_STEER_RST))
 		record_syn_answer(steer, now_ms, packet, flow, server);
-	if (packet->flags & CM_STEER_ACK)
+	if (packet->flags & CM_STEER_ACK) {
+		if ((int32_t)(packet->ack - flow->last_ack) > 0)
+			server->acked_ms = now_ms;
 		flow->last_ack = packet->ack;
+	}
 	if (packet->data_length)
 		record_request(steer, flow);
 	record_response(steer, flow, server);
@@ -418,10 +435,28 @@
 	return out && now_ms >= out->since_ms + steer->config.domain_out_ms;
 }
 
+/* Resets an open flow whose server is gone; see steer_gone.h. */
+static void reset_gone_flow(struct cm_steer *steer, uint64_t now_ms,
+			    const struct cm_steer_packet *packet,
+			    const struct cm_steer_server *server,
+			    const struct cm_steer_gone_evidence *evidence,
+			    struct cm_steer_verdict *verdict)
+{
+	struct cm_steer_flow *flow =
+		cm_steer_flows_find(&steer->flows, &packet->key);
+
+	set_verdict(verdict, CM_STEER_RESET, evidence->reason);
+	verdict->server_id = server->entry.id;
+	verdict->evidence_age_ms = now_ms - evidence->since_ms;
+	if (flow && flow->token == packet->token)
+		cm_steer_remove_flow(steer, flow);
+}
+
 static void forward_by_token(struct cm_steer *steer, uint64_t now_ms,
 			     const struct cm_steer_packet *packet,
 			     struct cm_steer_verdict *verdict)
 {
+	struct cm_steer_gone_evidence evidence;
 	struct cm_steer_server *server;
 
 	if (!packet->token) {
@@ -445,6 +480,12 @@
 		return;
 	}
 	update_flow(steer, now_ms, packet, server);
+	cm_steer_gone_record_packet(steer, now_ms, packet, server);
+	if (cm_steer_gone_check(steer, now_ms, packet, server, &evidence)) {
+		reset_gone_flow(steer, now_ms, packet, server, &evidence,
+				verdict);
+		return;
+	}
 	forward_to(steer, now_ms, server, CM_C_STEER_BY_TOKEN, verdict);
 }
 
--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -28,9 +28,12 @@
 	X(DEFERRED_SYN, "deferred-syn")           \
 	X(DELIVERED_ONCE, "delivered-once")       \
 	X(DOMAIN_CHECK, "domain-check")           \
+	X(DOWN_REPORTERS, "down-reporters")       \
 	X(EJECTION, "ejection")                   \
 	X(FAILING_COST, "failing-cost")           \
 	X(FAILING_SERVER, "failing-server")       \
+	X(GONE_OBSERVED, "gone-observed")         \
+	X(GONE_REGISTRY, "gone-registry")         \
 	X(HALF_OPEN_BOUND, "half-open-bound")     \
 	X(HAND_OVER, "hand-over")                 \
 	X(HEAD_CHECK, "head-check")               \
@@ -49,6 +52,7 @@
 	X(LEAVING_SYN, "leaving-syn")             \
 	X(NOTE_SPREAD, "note-spread")             \
 	X(NOT_RUN, "not-run")                     \
+	X(NO_PLAN_SYN, "no-plan-syn")             \
 	X(OPENING_PASSED, "opening-passed")       \
 	X(OWN_SYN, "own-syn")                     \
 	X(PASSED_SEARCH, "passed-search")         \
