Check whether the server is gone also for deferred data

Cause: a deferred request on a flow whose server is gone would wait for its deadline, although the flow can be reset at once. And the packets that do not reach the server are no evidence of a silent server. Change: forward_by_token() checks both, with the data of a deferred packet left out of what counts as sent.

--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -458,6 +458,8 @@
 {
 	struct cm_steer_gone_evidence evidence;
 	struct cm_steer_server *server;
+	struct cm_steer_packet seen;
+	bool is_admitted;
 
 	if (!packet->token) {
 		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_NO_TOKEN);
@@ -472,21 +474,21 @@
 		set_verdict(verdict, CM_STEER_DROP, CM_C_DROP_DOMAIN_OUT);
 		return;
 	}
-	if (!cm_steer_admit_packet(steer, now_ms, packet, server, verdict)) {
-		struct cm_steer_packet acknowledgment = *packet;
-
-		acknowledgment.data_length = 0;
-		update_flow(steer, now_ms, &acknowledgment, server);
-		return;
-	}
-	update_flow(steer, now_ms, packet, server);
-	cm_steer_gone_record_packet(steer, now_ms, packet, server);
+	seen = *packet;
+	is_admitted =
+		cm_steer_admit_packet(steer, now_ms, packet, server, verdict);
+	/* Data that does not reach the server is no request of the flow. */
+	if (!is_admitted)
+		seen.data_length = 0;
+	update_flow(steer, now_ms, &seen, server);
+	cm_steer_gone_record_packet(steer, now_ms, &seen, server);
 	if (cm_steer_gone_check(steer, now_ms, packet, server, &evidence)) {
 		reset_gone_flow(steer, now_ms, packet, server, &evidence,
 				verdict);
 		return;
 	}
-	forward_to(steer, now_ms, server, CM_C_STEER_BY_TOKEN, verdict);
+	if (is_admitted)
+		forward_to(steer, now_ms, server, CM_C_STEER_BY_TOKEN, verdict);
 }
 
 void cm_steer_packet(struct cm_steer *steer, uint64_t now_ms,
