--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -50,6 +50,8 @@
 	  "a snapshot of all release notes is in force at this instance")      \
 	X(NOT_READY, WARNING, "not_ready",                                     \
 	  "the fabric should send no packets to this instance")                \
+	X(OVERLOAD, WARNING, "overload",                                       \
+	  "a service is overloaded; requests are admitted by priority")        \
 	X(PAUSED, WARNING, "paused",                                           \
 	  "this instance was paused; it drops packets until it has caught up") \
 	X(PEER_ENTRY, INFO, "peer_entry",                                      \
