--- a/include/chervilmast/steer_admission.h
+++ b/include/chervilmast/steer_admission.h
@@ -43,22 +43,22 @@
 
 /**
  * struct cm_admission_report - state of an overload, to be logged
- * @kind: why the report is made
- * @service: name of the service
  * @capacity: estimated capacity, us of work per second
  * @limit: work that is admitted, us of work per second
  * @evidence: what the last update has seen
- * @totals: decisions since the last report
  * @lasted_ms: time since the overload began, ms
+ * @kind: why the report is made
+ * @totals: decisions since the last report
+ * @service: name of the service
  */
 struct cm_admission_report {
-	enum cm_admission_report_kind kind;
-	char service[CM_NAME_SIZE];
 	uint64_t capacity;
 	uint64_t limit;
 	struct cm_admission_evidence evidence;
-	struct cm_admission_totals totals;
 	uint64_t lasted_ms;
+	enum cm_admission_report_kind kind;
+	struct cm_admission_totals totals;
+	char service[CM_NAME_SIZE];
 };
 
 /**
--- a/tests/unit/overload_model.c
+++ b/tests/unit/overload_model.c
@@ -45,19 +45,19 @@
 
 /**
  * struct model_flow - a flow
- * @key: its key
+ * @idle_ms: since when a long flow is without a request; 0 for a flow in use
  * @token: token of its server
  * @server: index of its server
  * @ack: acknowledgment number of the caller
- * @idle_ms: since when a long flow is without a request; 0 for a flow in use
+ * @key: its key
  * @is_used: the entry is in use
  */
 struct model_flow {
-	struct cm_flow_key key;
+	uint64_t idle_ms;
 	uint32_t token;
 	uint32_t server;
 	uint32_t ack;
-	uint64_t idle_ms;
+	struct cm_flow_key key;
 	bool is_used;
 };
 
