--- a/tests/unit/overload_model.h
+++ b/tests/unit/overload_model.h
@@ -50,10 +50,10 @@
 	uint64_t useful_ms;
 };
 
-/** overload_setup() - start @instances instances and the servers; @listed
+/** overload_setup() - start @count instances and the servers; @listed
  * instances are in the registry, and without @with_priorities both routes have
  * the same priority, so that requests are not admitted by priority */
-void overload_setup(uint32_t instances, uint32_t listed, bool with_priorities,
+void overload_setup(uint32_t count, uint32_t listed, bool with_priorities,
 		    uint64_t seed);
 
 /** overload_teardown() - free everything */
