--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -159,6 +159,8 @@
 	  "reads of the store for new release notes")                          \
 	X(STORE_RETRIES, "store_retries",                                      \
 	  "calls to the store that failed and are retried")                    \
+	X(STORE_ERA_CHANGES, "store_era_changes",                              \
+	  "times that the store came back from an older copy")                 \
 	X(NOTES_FROM_STORE, "notes_from_store",                                \
 	  "release notes and snapshots put in force from the store")           \
 	X(NOTES_FROM_PEERS, "notes_from_peers",                                \
@@ -230,6 +232,8 @@
 	  "open flows reset as several instances found their server down")     \
 	X(STEER_GONE_SILENT, "steer_gone_silent",                              \
 	  "open flows reset as their server answers neither SYNs nor data")    \
+	X(STEER_GONE_WITHHELD, "steer_gone_withheld",                          \
+	  "packets to gone servers forwarded, as this instance was unsure")    \
 	X(STEER_FLOW_FORGOTTEN, "steer_flow_forgotten",                        \
 	  "flows evicted because the flow table was full")                     \
 	X(STEER_FLOW_FAILED, "steer_flow_failed",                              \
