Read the plan in one pass, and reset no SYN that waited

Cause: the plan was searched once for each service, which takes long with thousands of routes; and a SYN that waited 200 ms may have been sent again and have opened at another instance, so that a reset would hit an open flow. Change: one pass over the routes; such a SYN is dropped instead; a held SYN's time is limited, as an instance that leaves states the maximum of the type.

--- a/src/core/steer_admission.c
+++ b/src/core/steer_admission.c
@@ -1,5 +1,6 @@
 #include "steer_admission.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "steer_internal.h"
@@ -16,6 +17,12 @@
 /** Interval of the retransmissions of data after @data_offsets_ms, ms. */
 #define DATA_INTERVAL_MS 1600
 
+/**
+ * Maximum time for which a SYN counts as held, ms. When an instance leaves, it
+ * states the maximum of the type for the packets that it still holds.
+ */
+#define HELD_MAX_MS 800
+
 #define COUNT_OF(array) (sizeof(array) / sizeof(*(array)))
 
 static struct cm_admission_service *
@@ -41,21 +48,48 @@
 	return false;
 }
 
-static bool has_different_priorities(const struct cm_steer_plan *plan,
-				     uint32_t name_index)
+/**
+ * struct target_state - routes that send flows to a service of the plan
+ * @priority: priority of the first of them
+ * @has_route: there is one
+ * @is_ranked: they have different priorities
+ */
+struct target_state {
+	uint32_t priority;
+	bool has_route;
+	bool is_ranked;
+};
+
+static void add_target(struct target_state *state,
+		       const struct cm_plan_route *route)
 {
-	const struct cm_plan_route *first = NULL;
+	if (state->has_route && state->priority != route->traits.priority)
+		state->is_ranked = true;
+	state->has_route = true;
+	state->priority = route->traits.priority;
+}
 
-	for (size_t i = 0; i < plan->route_count; i++) {
+/*
+ * Returns the state of each service, by the index of its name; NULL when out of
+ * memory. One pass over all routes, as a plan may have thousands.
+ */
+static struct target_state *list_targets(const struct cm_steer_plan *plan)
+{
+	struct target_state *states =
+		calloc(plan->name_count + 1, sizeof(*states));
+
+	for (size_t i = 0; states && i < plan->route_count; i++) {
 		const struct cm_plan_route *route = &plan->routes[i];
 
-		if (!targets_service(plan, route, name_index))
-			continue;
-		if (first && first->traits.priority != route->traits.priority)
-			return true;
-		first = route;
+		for (uint32_t k = 0; k < route->target_count; k++) {
+			const struct cm_plan_target *target =
+				&plan->targets[route->first_target + k];
+
+			if (target->weight)
+				add_target(&states[target->name_index], route);
+		}
 	}
-	return false;
+	return states;
 }
 
 static void add_routes(struct cm_admission *admission,
@@ -97,7 +131,8 @@
 
 /* Removes the services to which the plan no longer applies this part. */
 static void remove_old_services(struct cm_steer_admissions *admissions,
-				const struct cm_steer_plan *plan)
+				const struct cm_steer_plan *plan,
+				const struct target_state *states)
 {
 	uint32_t i = 0;
 
@@ -106,7 +141,7 @@
 			find_name(plan, admissions->items[i].name);
 
 		if (name_index < plan->name_count &&
-		    has_different_priorities(plan, name_index)) {
+		    states[name_index].is_ranked) {
 			remove_old_routes(&admissions->items[i].admission, plan,
 					  name_index);
 			i++;
@@ -138,16 +173,23 @@
 	add_routes(&service->admission, plan, name_index, now_ms);
 }
 
+/* Without memory, no service is limited. */
 static void read_plan(struct cm_steer *steer, uint64_t now_ms)
 {
 	struct cm_steer_admissions *admissions = &steer->admissions;
 	const struct cm_steer_plan *plan = &steer->plan;
+	struct target_state *states = list_targets(plan);
 
-	remove_old_services(admissions, plan);
+	admissions->plan_version = plan->version;
+	if (!states) {
+		admissions->count = 0;
+		return;
+	}
+	remove_old_services(admissions, plan, states);
 	for (uint32_t i = 0; i < plan->name_count; i++)
-		if (has_different_priorities(plan, i))
+		if (states[i].is_ranked)
 			add_service(admissions, plan, i, now_ms);
-	admissions->plan_version = plan->version;
+	free(states);
 }
 
 static uint64_t usable_slots(const struct cm_steer *steer,
@@ -313,7 +355,12 @@
 	return outcome;
 }
 
+/*
+ * A SYN that waited is not reset: its caller may have sent it again, and the
+ * flow may have opened at another instance.
+ */
 static void refuse_flow(struct cm_admission *admission,
+			const struct cm_steer_packet *packet,
 			enum cm_admission_outcome outcome,
 			struct cm_steer_verdict *verdict)
 {
@@ -322,7 +369,8 @@
 	if (outcome == CM_ADMISSION_DEFER)
 		return;
 	verdict->reason = CM_C_STEER_ADMISSION_SHED;
-	if (!cm_admission_take_reset(admission))
+	if (packet->waited_ms >= syn_offsets_ms[1] ||
+	    !cm_admission_take_reset(admission))
 		return;
 	verdict->action = CM_STEER_RESET;
 	verdict->reason = CM_C_STEER_ADMISSION_RESET;
@@ -336,9 +384,12 @@
 	uint32_t repeats = packet->repeats < last ? packet->repeats : last;
 	struct cm_admission_request request = {
 		.route = route,
-		.elapsed_ms = syn_offsets_ms[repeats] + packet->held_ms,
+		.elapsed_ms = syn_offsets_ms[repeats],
 	};
 
+	request.elapsed_ms +=
+		packet->held_ms < HELD_MAX_MS ? packet->held_ms : HELD_MAX_MS;
+
 	if (repeats < last)
 		request.next_ms =
 			syn_offsets_ms[repeats + 1] - syn_offsets_ms[repeats];
@@ -351,12 +402,15 @@
 					   const char *service_name,
 					   struct cm_steer_verdict *verdict)
 {
-	struct cm_admission_service *service = find_service(
-		&steer->admissions, cm_steer_name_hash(service_name));
+	struct cm_admission_service *service;
 	struct cm_admission_request request;
 	enum cm_admission_outcome outcome;
 	struct cm_route_demand *route;
 
+	if (!steer->admissions.count)
+		return CM_FLOW_UNLIMITED;
+	service = find_service(&steer->admissions,
+			       cm_steer_name_hash(service_name));
 	route = service ? cm_admission_find_route(&service->admission,
 						  &packet->key.service) :
 			  NULL;
@@ -370,7 +424,7 @@
 	outcome = decide(service, now_ms, &request);
 	if (outcome == CM_ADMISSION_ADMIT)
 		return CM_FLOW_ADMITTED;
-	refuse_flow(&service->admission, outcome, verdict);
+	refuse_flow(&service->admission, packet, outcome, verdict);
 	return CM_FLOW_REFUSED;
 }
 
--- a/tests/unit/test_steer_requests.c
+++ b/tests/unit/test_steer_requests.c
@@ -176,6 +176,20 @@
 			 CM_C_STEER_ADMISSION_SHED);
 }
 
+/* A SYN that waited while its caller sent it again, perhaps to an instance that
+ * opened the flow, is not reset. */
+TEST(delayed_syn_is_not_reset)
+{
+	open_flow(CM_ROUTE_IDEMPOTENT);
+	overload(-10000000);
+	steering.admissions.items[0].admission.reset_credit = 1000;
+	ck_assert_int_eq(steering_send_delayed_syn(2000, 2, 199).action,
+			 CM_STEER_RESET);
+	steering.admissions.items[0].admission.reset_credit = 1000;
+	ck_assert_int_eq(steering_send_delayed_syn(2000, 2, 200).action,
+			 CM_STEER_DROP);
+}
+
 /* The begin and the end of an overload are reported once each, and once in a
  * second meanwhile. */
 TEST(overload_is_reported)
