Take the store back among the random faults of the process tests

From seed 100 on, every third fault takes the store back by up to 8 s, its leases go to another client, and what it lost is written again after 1.5 s. Lower seeds keep their sequences of faults; seed 101 joins process-check.

--- a/Makefile
+++ b/Makefile
@@ -200,8 +200,9 @@
 
 # Process tests with 8 s of random faults for each seed. Seed 38 guards against
 # a request that is executed twice: the SYN-ACK of one server is lost, and
-# another server answers the retransmitted SYN.
-PROCESS_SEEDS = 2 7 38
+# another server answers the retransmitted SYN. From seed 100 on, the store also
+# comes back from older copies.
+PROCESS_SEEDS = 2 7 38 101
 process-check: packages
 	$(MAKE) $(BUILD)/chervilmast $(BUILD)/process
 	tests/scripts/process.sh $(BUILD) 8 $(PROCESS_SEEDS)
--- a/tests/process/main.c
+++ b/tests/process/main.c
@@ -22,11 +22,19 @@
 #define FAULT_DURATION_SPAN_MS 3500
 #define SERVED_MIN 200
 #define PLAN_VERSION 3
+/** From this seed on, the store also goes back to older copies; lower seeds
+ * keep their sequences of faults. */
+#define FIRST_ERA_SEED 100
+#define GO_BACK_SPAN_MS 8000
+#define ERA_FAULTS_ONE_IN 3
+/** Time until what the store lost is written again, ms. */
+#define WRITE_AGAIN_MS 1500
+#define DOMAIN_OUT_KEY "op/evacuate/b"
 
 static struct fake_random rng;
 static struct platform_standin store;
 static uint64_t store_fault_until_ms, proxy_fault_until_ms, loss_until_ms,
-	domain_out_until_ms;
+	domain_out_until_ms, write_again_ms;
 static uint64_t paused_until_ms[PROCESS_ALL_INSTANCES];
 
 static uint64_t choose_fault_end_ms(void)
@@ -114,11 +122,31 @@
 
 static void take_domain_out(void)
 {
-	platform_standin_put(&store, "op/evacuate/b", "{}");
+	platform_standin_put(&store, DOMAIN_OUT_KEY, "{}");
 	domain_out_until_ms = choose_fault_end_ms();
 	fault_extend(domain_out_until_ms);
 }
 
+static void lose_writes(void)
+{
+	platform_standin_go_back(&store,
+				 fake_random_below(&rng, GO_BACK_SPAN_MS));
+	platform_standin_take_leases(&store, 4);
+	write_again_ms = now_ms() + WRITE_AGAIN_MS;
+	fault_extend(write_again_ms + MS_PER_S);
+}
+
+static void write_again(void)
+{
+	plan_put(&store, PLAN_VERSION);
+	if (domain_out_until_ms)
+		platform_standin_put(&store, DOMAIN_OUT_KEY, "{}");
+	else
+		platform_standin_remove(&store, DOMAIN_OUT_KEY);
+	servers_register();
+	write_again_ms = 0;
+}
+
 static void (*const faults[])(void) = {
 	kill_one,
 	stop_one,
@@ -151,9 +179,11 @@
 		loss_until_ms = 0;
 	}
 	if (domain_out_until_ms && now >= domain_out_until_ms) {
-		platform_standin_remove(&store, "op/evacuate/b");
+		platform_standin_remove(&store, DOMAIN_OUT_KEY);
 		domain_out_until_ms = 0;
 	}
+	if (write_again_ms && now >= write_again_ms)
+		write_again();
 	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++) {
 		if (!paused_until_ms[i] || now < paused_until_ms[i])
 			continue;
@@ -194,13 +224,21 @@
 		step(per_s);
 }
 
-static void run_faults(uint64_t ms)
+static void inject_fault(void)
+{
+	faults[fake_random_below(&rng, sizeof(faults) / sizeof(*faults))]();
+}
+
+/* With @loses_writes, one fault in ERA_FAULTS_ONE_IN takes the store back. */
+static void run_faults(uint64_t ms, bool loses_writes)
 {
 	uint64_t end = now_ms() + ms;
 
-	while (now_ms() < end) {
-		faults[fake_random_below(&rng,
-					 sizeof(faults) / sizeof(*faults))]();
+	for (uint32_t i = 0; now_ms() < end; i++) {
+		if (loses_writes && i % ERA_FAULTS_ONE_IN == 0)
+			lose_writes();
+		else
+			inject_fault();
 		run(FAULT_MIN_MS + fake_random_below(&rng, FAULT_GAP_SPAN_MS),
 		    REQUESTS_PER_S);
 	}
@@ -263,7 +301,8 @@
 	if (scenario)
 		scenario->play(&store);
 	else
-		run_faults(strtoull(argv[2], NULL, 10) * MS_PER_S);
+		run_faults(strtoull(argv[2], NULL, 10) * MS_PER_S,
+			   strtoull(argv[1], NULL, 10) >= FIRST_ERA_SEED);
 	run(scenario ? MS_PER_S : AFTER_FAULTS_RUN_MS, REQUESTS_PER_S);
 	while (!callers_are_done())
 		step(0);
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -168,7 +168,8 @@
  * failure domain, 0 for the first, have opened */
 uint32_t servers_count_opened(int domain);
 
-/** servers_register() - write the store entries of all servers again */
+/** servers_register() - write the store entries of all servers again, and
+ * remove those of former ones */
 void servers_register(void);
 
 /* Callers. */
--- a/tests/process/server.c
+++ b/tests/process/server.c
@@ -18,6 +18,7 @@
 #define REPLACE_DELAY_MS 2000
 #define DRAIN_EXIT_MS (PROCESS_DRAIN_MS + 2000)
 #define VALUE_SIZE 256
+#define FIRST_ID 0x1001
 #define KEY_SIZE 64
 #define CHECKSUM 0x5eed
 
@@ -68,7 +69,7 @@
 static struct server servers[PROCESS_ALL_SERVERS];
 static struct platform_standin *store;
 static uint8_t executions[REQUESTS_MAX];
-static uint64_t last_id = 0x1000;
+static uint64_t last_id = FIRST_ID - 1;
 static uint32_t opened[PROCESS_DOMAINS];
 
 uint32_t servers_count_executions(uint32_t request)
@@ -81,14 +82,18 @@
 	return address(SERVER_GROUP, 1 + (unsigned int)slot, SERVER_PORT);
 }
 
+static void write_key(char *key, uint64_t id)
+{
+	snprintf(key, KEY_SIZE, "servers/i-%llx", (unsigned long long)id);
+}
+
 static void put_store_entry(int slot, bool is_draining)
 {
 	struct sockaddr_in at = server_address(slot);
 	char key[KEY_SIZE], value[VALUE_SIZE], text[INET_ADDRSTRLEN];
 
 	inet_ntop(AF_INET, &at.sin_addr, text, sizeof(text));
-	snprintf(key, sizeof(key), "servers/i-%llx",
-		 (unsigned long long)servers[slot].id);
+	write_key(key, servers[slot].id);
 	snprintf(
 		value, sizeof(value),
 		"{\"service\":\"ledger\",\"address\":\"%s:%u\",\"zone\":\"%c\","
@@ -296,8 +301,7 @@
 {
 	char key[KEY_SIZE];
 
-	snprintf(key, sizeof(key), "servers/i-%llx",
-		 (unsigned long long)servers[slot].id);
+	write_key(key, servers[slot].id);
 	platform_standin_remove(store, key);
 	servers[slot].listed_until_ms = 0;
 }
@@ -317,10 +321,31 @@
 	return opened[domain];
 }
 
-void servers_register(void)
+static int find_slot(uint64_t id)
 {
 	for (int slot = 0; slot < PROCESS_ALL_SERVERS; slot++)
-		put_store_entry(slot, servers[slot].draining_ms);
+		if (servers[slot].id == id)
+			return slot;
+	return -1;
+}
+
+static bool is_expired(int slot)
+{
+	return servers[slot].is_unresponsive && !servers[slot].listed_until_ms;
+}
+
+void servers_register(void)
+{
+	for (uint64_t id = FIRST_ID; id <= last_id; id++) {
+		int slot = find_slot(id);
+		char key[KEY_SIZE];
+
+		write_key(key, id);
+		if (slot < 0 || is_expired(slot))
+			platform_standin_remove(store, key);
+		else
+			put_store_entry(slot, servers[slot].draining_ms);
+	}
 }
 
 void servers_poll(void)
