Explain where a new flow would be placed (core)

Change: cm_steer_explain() lists, for each service of a route, the servers that may get a new flow with the components of their costs, and the excluded ones with the reason and the age of the evidence, and states the decision on the SYN. place_flow() in steer.c is split, so that the explanation uses the same decision (cm_steer_preview_syn()) without placing the flow.

The time after which a report expires moves to server_health.h, as its age is derived from it.

--- a/include/chervilmast/error.h
+++ b/include/chervilmast/error.h
@@ -58,7 +58,10 @@
 	X(CM_E_OUTCOME_UNKNOWN, -39, "outcome-open")             \
 	X(CM_E_CONTRADICTION, -40, "contradicting-note")         \
 	X(CM_E_VERSION_GAP, -41, "note-before-is-missing")       \
-	X(CM_E_INTERRUPTED, -42, "interrupted")
+	X(CM_E_INTERRUPTED, -42, "interrupted")                  \
+	X(CM_E_UNKNOWN_ROUTE, -60, "unknown-route")              \
+	X(CM_E_BAD_TOKEN, -61, "bad-token")                      \
+	X(CM_E_INSTANCE_UNAVAILABLE, -62, "instance-unavailable")
 
 /**
  * enum cm_error - reason of a failure; 0 for success
--- a/include/chervilmast/server_health.h
+++ b/include/chervilmast/server_health.h
@@ -41,6 +41,10 @@
  * if the probe has not reached it, ms.
  */
 #define CM_HEALTH_FIRST_PROBE_TIMEOUT_MS 100
+/**
+ * Time after which another instance's report expires unless it is repeated, ms.
+ */
+#define CM_HEALTH_REPORT_TTL_MS 2000
 /** Maximum number of acknowledged bytes of a flow that counts as failed. */
 #define CM_HEALTH_ERROR_BYTES_MAX 200
 
@@ -111,8 +115,8 @@
  * @health: the observations
  * @now_ms: current time, ms
  *
- * The server gets no flows until REPORT_TTL_MS after the last report. It is
- * probed by the instances whose own SYN it left unanswered, not by all
+ * The server gets no flows until CM_HEALTH_REPORT_TTL_MS after the last report.
+ * It is probed by the instances whose own SYN it left unanswered, not by all
  * instances that receive the report. The report is ignored when the server
  * answered this instance less than ANSWER_PRECEDENCE_MS ago.
  */
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -6,10 +6,6 @@
 #define PER_MILLE 1000
 /** Inverse weight of the last flow in the smoothed share of failed flows. */
 #define FAILED_WEIGHT_DIVISOR 4
-/**
- * Time after which another instance's report expires unless it is repeated, ms.
- */
-#define REPORT_TTL_MS 2000
 /**
  * Time after a server's answer in which other instances' reports of it are
  * ignored, ms.
@@ -57,7 +53,7 @@
 	    (health->answered_ms &&
 	     now_ms < health->answered_ms + ANSWER_PRECEDENCE_MS))
 		return;
-	health->reported_until_ms = now_ms + REPORT_TTL_MS;
+	health->reported_until_ms = now_ms + CM_HEALTH_REPORT_TTL_MS;
 }
 
 /*
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -99,14 +99,21 @@
 		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_STALE);
 }
 
-static void forward_to(struct cm_steer *steer, uint64_t now_ms,
-		       const struct cm_steer_server *server,
-		       enum cm_counter reason, struct cm_steer_verdict *verdict)
+static void set_forward_verdict(struct cm_steer_verdict *verdict,
+				const struct cm_steer_server *server,
+				enum cm_counter reason)
 {
 	set_verdict(verdict, CM_STEER_FORWARD, reason);
 	verdict->token = server->token;
 	verdict->server_id = server->entry.id;
 	verdict->server = server->entry.address;
+}
+
+static void forward_to(struct cm_steer *steer, uint64_t now_ms,
+		       const struct cm_steer_server *server,
+		       enum cm_counter reason, struct cm_steer_verdict *verdict)
+{
+	set_forward_verdict(verdict, server, reason);
 	steer->last_forwarded_ms = now_ms;
 }
 
@@ -241,43 +248,64 @@
 	return CM_STEER_FORWARD;
 }
 
-static void place_flow(struct cm_steer *steer, uint64_t now_ms,
-		       const struct cm_steer_packet *packet,
-		       const struct cm_plan_route *route, uint32_t avoid_token,
-		       struct cm_steer_verdict *verdict)
+/*
+ * Decides where a flow is placed, without placing it.
+ * Return: the server, or NULL when the SYN is not forwarded.
+ */
+static struct cm_steer_server *
+decide_placement(struct cm_steer *steer, const struct cm_steer_packet *packet,
+		 const struct cm_plan_route *route,
+		 const struct cm_choice_input *choice,
+		 struct cm_steer_verdict *verdict)
 {
-	struct cm_choice_input choice = {
-		.service = cm_steer_plan_select_service(
-			&steer->plan, route, cm_flow_key_hash(&packet->key)),
-		.avoid_token = avoid_token,
-		.now_ms = now_ms,
-	};
 	struct cm_steer_server *server = NULL;
 	enum cm_steer_action action = CM_STEER_FORWARD;
 	enum cm_spare_capacity capacity;
 
-	if (choice.service) {
-		memcpy(verdict->service, choice.service, CM_NAME_SIZE);
-		server = cm_steer_choose(steer, &choice, &capacity);
+	if (choice->service) {
+		memcpy(verdict->service, choice->service, CM_NAME_SIZE);
+		server = cm_steer_choose(steer, choice, &capacity);
 	}
 	if (server && capacity != CM_CAPACITY_AVAILABLE &&
-	    !can_meet_objective(steer, packet, route, choice.service))
-		action = decide_when_full(packet, avoid_token, capacity);
+	    !can_meet_objective(steer, packet, route, choice->service))
+		action =
+			decide_when_full(packet, choice->avoid_token, capacity);
 	if (action != CM_STEER_FORWARD) {
 		set_verdict(verdict, action,
 			    action == CM_STEER_HOLD ? CM_C_STEER_HELD :
 						      CM_C_STEER_DEFERRED);
-		return;
+		return NULL;
 	}
-	if (!server) {
-		refuse(steer, now_ms, packet, CM_C_STEER_NO_SERVER, verdict);
+	if (!server)
+		refuse(steer, choice->now_ms, packet, CM_C_STEER_NO_SERVER,
+		       verdict);
+	else
+		set_forward_verdict(verdict, server,
+				    choice->avoid_token ?
+					    CM_C_STEER_PLACED_AGAIN :
+					    CM_C_STEER_PLACED);
+	return server;
+}
+
+static void place_flow(struct cm_steer *steer, uint64_t now_ms,
+		       const struct cm_steer_packet *packet,
+		       const struct cm_plan_route *route, uint32_t avoid_token,
+		       struct cm_steer_verdict *verdict)
+{
+	const struct cm_choice_input choice = {
+		.service = cm_steer_plan_select_service(
+			&steer->plan, route, cm_flow_key_hash(&packet->key)),
+		.avoid_token = avoid_token,
+		.now_ms = now_ms,
+	};
+	struct cm_steer_server *server =
+		decide_placement(steer, packet, route, &choice, verdict);
+
+	if (!server)
 		return;
-	}
 	cm_steer_record_choice(steer, server, now_ms);
 	track_flow(steer, now_ms, packet, server);
-	forward_to(steer, now_ms, server,
-		   avoid_token ? CM_C_STEER_PLACED_AGAIN : CM_C_STEER_PLACED,
-		   verdict);
+	steer->last_forwarded_ms = now_ms;
 }
 
 /*
@@ -296,6 +324,34 @@
 	       packet->held_ms < REFRESH_HOLD_MAX_MS;
 }
 
+/* Return: false when the SYN is held or refused without a choice. */
+static bool may_be_placed(const struct cm_steer *steer, uint64_t now_ms,
+			  const struct cm_steer_packet *packet,
+			  const struct cm_plan_route *route,
+			  struct cm_steer_verdict *verdict)
+{
+	if (must_hold_for_registry(steer, now_ms, packet))
+		set_verdict(verdict, CM_STEER_HOLD, CM_C_STEER_HELD_STALE);
+	else if (!route)
+		refuse(steer, now_ms, packet, CM_C_STEER_NO_ROUTE, verdict);
+	else
+		return true;
+	return false;
+}
+
+void cm_steer_preview_syn(struct cm_steer *steer, uint64_t now_ms,
+			  const struct cm_steer_packet *packet,
+			  const struct cm_choice_input *choice,
+			  struct cm_steer_verdict *verdict)
+{
+	const struct cm_plan_route *route =
+		cm_steer_plan_find_route(&steer->plan, &packet->key.service);
+
+	memset(verdict, 0, sizeof(*verdict));
+	if (may_be_placed(steer, now_ms, packet, route, verdict))
+		decide_placement(steer, packet, route, choice, verdict);
+}
+
 static void handle_syn(struct cm_steer *steer, uint64_t now_ms,
 		       const struct cm_steer_packet *packet,
 		       struct cm_steer_verdict *verdict)
@@ -306,14 +362,8 @@
 		cm_steer_flows_find(&steer->flows, &packet->key);
 	uint32_t avoid_token = 0;
 
-	if (must_hold_for_registry(steer, now_ms, packet)) {
-		set_verdict(verdict, CM_STEER_HOLD, CM_C_STEER_HELD_STALE);
+	if (!may_be_placed(steer, now_ms, packet, route, verdict))
 		return;
-	}
-	if (!route) {
-		refuse(steer, now_ms, packet, CM_C_STEER_NO_ROUTE, verdict);
-		return;
-	}
 	if (flow && packet->repeats &&
 	    forward_repeated_syn(steer, now_ms, flow, packet, verdict))
 		return;
--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -10,6 +10,7 @@
 #define CORE_STEER_INTERNAL_H
 
 #include "chervilmast/steer.h"
+#include "chervilmast/steer_choice.h"
 
 /**
  * Initial sequence number of choices. Servers that are added before the first
@@ -86,6 +87,21 @@
  */
 void cm_steer_check_idle_flows(struct cm_steer *steer, uint64_t now_ms);
 
+/**
+ * cm_steer_preview_syn() - decide on the SYN of a new flow without placing it
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ * @packet: the SYN
+ * @choice: input of the choice, with the service of the flow
+ * @verdict: set to the decision
+ *
+ * Changes only what cm_steer_choose() changes.
+ */
+void cm_steer_preview_syn(struct cm_steer *steer, uint64_t now_ms,
+			  const struct cm_steer_packet *packet,
+			  const struct cm_choice_input *choice,
+			  struct cm_steer_verdict *verdict);
+
 /**
  * cm_steer_syn_is_overdue() - whether the answer to a SYN is overdue
  * @steer: the instance; its lock is held
--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -28,6 +28,7 @@
 	X(DELIVERED_ONCE, "delivered-once")       \
 	X(DOMAIN_CHECK, "domain-check")           \
 	X(EJECTION, "ejection")                   \
+	X(EXPLAIN_RESTORE, "explain-restore")     \
 	X(FAILING_COST, "failing-cost")           \
 	X(FAILING_SERVER, "failing-server")       \
 	X(HALF_OPEN_BOUND, "half-open-bound")     \
