Add chervilmast explain and the page /explain

Change: the command asks a running instance over its metrics address and prints the explanation of cm_steer_explain(). The pages of the HTTP server get the query of the URL. Unknown route or token, an unreachable instance and bad arguments are typed errors with an exit code each.

--- a/include/chervilmast/steer_explain.h
+++ b/include/chervilmast/steer_explain.h
@@ -17,39 +17,35 @@
  */
 #define CM_EXPLAIN_ROWS_MAX 64
 
+/*
+ * X(constant, name, source of the evidence)
+ *
+ * Why a server may not get a new flow, in the order in which the reasons are
+ * examined. CM_EXCLUDED_UNKNOWN stands for a server that has no place in its
+ * pool for lack of memory. docs/OPERATIONS.md explains each name.
+ */
+#define CM_EXCLUSIONS(X)                               \
+	X(LEFT, "left", "registry")                    \
+	X(DRAINING, "draining", "registry")            \
+	X(DOMAIN_OUT, "domain_out", "operator")        \
+	X(LAPSED, "lapsed", "registry")                \
+	X(UNKNOWN, "unknown", "none")                  \
+	X(AVOIDED, "avoided", "argument")              \
+	X(REPORTED, "reported_silent", "report")       \
+	X(SUSPECTED, "suspected", "own_syn")           \
+	X(DOMAIN_SUSPECT, "domain_suspect", "own_syn") \
+	X(COLD, "cold_start_rate", "own_flows")        \
+	X(TOKEN, "shared_token", "registry")
+
 /**
- * enum cm_exclusion - why a server may not get a new flow
- * @CM_EXCLUDED_NOT: it may get one
- * @CM_EXCLUDED_LEFT: its registry entry was removed, or a later run of it is
- *                    registered
- * @CM_EXCLUDED_LAPSED: its registry entry expired in an outage of the registry,
- *                      and the grace period is over
- * @CM_EXCLUDED_DRAINING: its registry entry says that it takes no new flows
- * @CM_EXCLUDED_DOMAIN_OUT: its failure domain is out of service
- * @CM_EXCLUDED_AVOIDED: it is the server to be avoided
- * @CM_EXCLUDED_REPORTED: another instance reported that it is silent
- * @CM_EXCLUDED_SUSPECTED: it left a SYN of this instance unanswered, and no
- *                         probe has reached it since
- * @CM_EXCLUDED_DOMAIN_SUSPECT: its failure domain may be cut off, and no probe
- *                              has reached the server
- * @CM_EXCLUDED_COLD: the rate limit of its cold start is used up
- * @CM_EXCLUDED_TOKEN: another server has the same token
- * @CM_EXCLUDED_UNKNOWN: no pool has room for it, or a rule of the choice
- *                       excludes it that is not listed here
+ * enum cm_exclusion - why a server may not get a new flow; CM_EXCLUDED_NOT when
+ * it may
  */
 enum cm_exclusion {
 	CM_EXCLUDED_NOT,
-	CM_EXCLUDED_LEFT,
-	CM_EXCLUDED_LAPSED,
-	CM_EXCLUDED_DRAINING,
-	CM_EXCLUDED_DOMAIN_OUT,
-	CM_EXCLUDED_AVOIDED,
-	CM_EXCLUDED_REPORTED,
-	CM_EXCLUDED_SUSPECTED,
-	CM_EXCLUDED_DOMAIN_SUSPECT,
-	CM_EXCLUDED_COLD,
-	CM_EXCLUDED_TOKEN,
-	CM_EXCLUDED_UNKNOWN,
+#define CM_EXCLUSION_ENUM(constant, name, evidence) CM_EXCLUDED_##constant,
+	CM_EXCLUSIONS(CM_EXCLUSION_ENUM)
+#undef CM_EXCLUSION_ENUM
 };
 
 /**
@@ -160,10 +156,18 @@
  * cm_exclusion_name() - name of an exclusion
  * @exclusion: the exclusion
  *
- * Return: a static string, as in "draining".
+ * Return: a static string, as in "draining"; "none" for CM_EXCLUDED_NOT.
  */
 const char *cm_exclusion_name(enum cm_exclusion exclusion);
 
+/**
+ * cm_exclusion_evidence() - source of the evidence for an exclusion
+ * @exclusion: the exclusion
+ *
+ * Return: a static string, as in "registry"; "none" for CM_EXCLUDED_NOT.
+ */
+const char *cm_exclusion_evidence(enum cm_exclusion exclusion);
+
 /**
  * cm_steer_explain() - explain where a new flow would be placed
  * @steer: the instance
--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -56,12 +56,20 @@
 	return NULL;
 }
 
+/* Not decoded, as no page's query contains escapes. */
+static const char *query_of(struct evhttp_request *request)
+{
+	const char *query = strchr(evhttp_request_get_uri(request), '?');
+
+	return query ? query + 1 : "";
+}
+
 static void respond(const struct cm_http_site *site,
 		    struct evhttp_request *request,
 		    const struct cm_http_page *page)
 {
 	unsigned int status = HTTP_OK;
-	char *text = page->render(site->user, &status);
+	char *text = page->render(site->user, query_of(request), &status);
 
 	if (text)
 		reply(request, status, page->type, text);
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -18,12 +18,14 @@
  * @path: its path; NULL ends a table
  * @type: its media type
  * @render: return its text, which the server frees with free(), or NULL when
- *          out of memory; may set the HTTP status, which is 200 by default
+ *          out of memory; gets the query of the URL, "" for none, and may set
+ *          the HTTP status, which is 200 by default
  */
 struct cm_http_page {
 	const char *path;
 	const char *type;
-	char *(*render)(const void *user, unsigned int *status);
+	char *(*render)(const void *user, const char *query,
+			unsigned int *status);
 };
 
 /** Maximum number of addresses of a server. */
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -19,8 +19,9 @@
  * @CM_EXIT_BAD_INPUT: a settings file or release note is invalid
  * @CM_EXIT_USAGE: the command line is invalid
  * @CM_EXIT_CONFLICT: another release note was accepted first
- * @CM_EXIT_UNAVAILABLE: the store is unavailable; if a note was already sent to
- *                       it, whether it accepted the note is unknown
+ * @CM_EXIT_UNAVAILABLE: the store, or the instance to query, is unavailable; if
+ *                       a note was already sent to the store, whether it
+ *                       accepted the note is unknown
  * @CM_EXIT_NOT_IN_FORCE: the note was accepted, but not confirmed to be in
  *                        force on every live instance before the timeout
  */
@@ -51,6 +52,7 @@
 extern const struct cm_command cm_command_check;
 extern const struct cm_command cm_command_publish;
 extern const struct cm_command cm_command_status;
+extern const struct cm_command cm_command_explain;
 
 /**
  * cm_command_parse() - parse the arguments of a subcommand
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -5,8 +5,13 @@
 #include "command.h"
 
 static const struct cm_command *const commands[] = {
-	&cm_command_entry,   &cm_command_steer,	 &cm_command_check,
-	&cm_command_publish, &cm_command_status, NULL,
+	&cm_command_entry,
+	&cm_command_steer,
+	&cm_command_check,
+	&cm_command_publish,
+	&cm_command_status,
+	&cm_command_explain,
+	NULL,
 };
 
 static void print_usage(FILE *stream)
@@ -18,7 +23,7 @@
 	fputs("\nchervilmast COMMAND --help describes a command.\n"
 	      "chervilmast --version prints the version.\n"
 	      "\nExit codes: 0 done, 1 failed, 2 file refused, "
-	      "3 command line refused,\n4 conflict, 5 store unavailable, "
+	      "3 command line refused,\n4 conflict, 5 store or instance unavailable, "
 	      "6 not in force everywhere in time.\n",
 	      stream);
 }
--- a/src/core/steer_explain.c
+++ b/src/core/steer_explain.c
@@ -34,24 +34,29 @@
 
 const char *cm_exclusion_name(enum cm_exclusion exclusion)
 {
-	static const char *const names[] = {
-		[CM_EXCLUDED_NOT] = "no",
-		[CM_EXCLUDED_LEFT] = "left",
-		[CM_EXCLUDED_LAPSED] = "lapsed",
-		[CM_EXCLUDED_DRAINING] = "draining",
-		[CM_EXCLUDED_DOMAIN_OUT] = "domain_out",
-		[CM_EXCLUDED_AVOIDED] = "avoided",
-		[CM_EXCLUDED_REPORTED] = "reported_silent",
-		[CM_EXCLUDED_SUSPECTED] = "suspected",
-		[CM_EXCLUDED_DOMAIN_SUSPECT] = "domain_suspect",
-		[CM_EXCLUDED_COLD] = "cold_start_rate",
-		[CM_EXCLUDED_TOKEN] = "shared_token",
-		[CM_EXCLUDED_UNKNOWN] = "unknown",
+	static const char *const names[] = { [CM_EXCLUDED_NOT] = "none",
+#define CM_EXCLUSION_NAME(constant, name, evidence) \
+	[CM_EXCLUDED_##constant] = name,
+					     CM_EXCLUSIONS(CM_EXCLUSION_NAME)
+#undef CM_EXCLUSION_NAME
 	};
 
 	return names[exclusion];
 }
 
+const char *cm_exclusion_evidence(enum cm_exclusion exclusion)
+{
+	static const char *const sources[] = {
+		[CM_EXCLUDED_NOT] = "none",
+#define CM_EXCLUSION_EVIDENCE(constant, name, evidence) \
+	[CM_EXCLUDED_##constant] = evidence,
+		CM_EXCLUSIONS(CM_EXCLUSION_EVIDENCE)
+#undef CM_EXCLUSION_EVIDENCE
+	};
+
+	return sources[exclusion];
+}
+
 static uint64_t slowness(const struct cm_steer *steer,
 			 const struct cm_choice_context *context,
 			 const struct cm_steer_server *server, uint64_t total)
--- a/src/daemon/admin_page.c
+++ b/src/daemon/admin_page.c
@@ -15,12 +15,14 @@
 #define MS_PER_S 1000
 #define HTTP_UNAVAILABLE 503
 
-static char *render_metrics(const void *user, unsigned int *status)
+static char *render_metrics(const void *user, const char *query,
+			    unsigned int *status)
 {
 	const struct cm_admin *admin = user;
 	GString *text = g_string_new(NULL);
 	struct cm_gauges gauges;
 
+	(void)query;
 	(void)status;
 	cm_metrics_append_counters(text, &admin->node->counters);
 	cm_gauges_read(&gauges, admin->node, cm_clock_ms() - admin->started_ms);
@@ -30,10 +32,12 @@
 	return g_string_free(text, FALSE);
 }
 
-static char *render_health(const void *user, unsigned int *status)
+static char *render_health(const void *user, const char *query,
+			   unsigned int *status)
 {
 	const struct cm_admin *admin = user;
 
+	(void)query;
 	if (cm_node_version(admin->node))
 		return strdup("ok\n");
 	*status = HTTP_UNAVAILABLE;
@@ -115,7 +119,8 @@
 	return list;
 }
 
-static char *render_status(const void *user, unsigned int *status)
+static char *render_status(const void *user, const char *query,
+			   unsigned int *status)
 {
 	const struct cm_admin *admin = user;
 	char id[CM_PUBLICATION_ID_TEXT_SIZE];
@@ -123,6 +128,7 @@
 	json_t *root;
 	char *text;
 
+	(void)query;
 	(void)status;
 	cm_node_status_read(admin->node, &node);
 	cm_publication_id_write(node.publication_id, id);
--- a/src/daemon/steer_page.c
+++ b/src/daemon/steer_page.c
@@ -4,28 +4,33 @@
 #include <string.h>
 
 #include "chervilmast/steer.h"
+#include "explain_page.h"
 #include "metrics_text.h"
 #include "ports/clock.h"
 #include "steer_gauge.h"
 
 #define HTTP_UNAVAILABLE 503
 
-static char *render_ready(const void *user, unsigned int *status)
+static char *render_ready(const void *user, const char *query,
+			  unsigned int *status)
 {
 	struct cm_steer *steer = (struct cm_steer *)user;
 
+	(void)query;
 	if (cm_steer_is_ready(steer, cm_clock_ms()))
 		return strdup("ready\n");
 	*status = HTTP_UNAVAILABLE;
 	return strdup("not-ready\n");
 }
 
-static char *render_metrics(const void *user, unsigned int *status)
+static char *render_metrics(const void *user, const char *query,
+			    unsigned int *status)
 {
 	struct cm_steer *steer = (struct cm_steer *)user;
 	GString *text = g_string_new(NULL);
 	struct cm_steer_gauges gauges;
 
+	(void)query;
 	(void)status;
 	cm_metrics_append_counters(text, &steer->counters);
 	cm_steer_gauges_read(steer, cm_clock_ms(), &gauges);
@@ -45,5 +50,6 @@
 
 const struct cm_http_page cm_steer_metrics_pages[] = {
 	{ "/metrics", CM_METRICS_TYPE, render_metrics },
+	{ CM_EXPLAIN_PATH, "text/plain", cm_explain_page_render },
 	{ NULL, NULL, NULL },
 };
--- a/src/daemon/steer_page.h
+++ b/src/daemon/steer_page.h
@@ -9,7 +9,8 @@
 /** Readiness page; the user of its site is a struct cm_steer. */
 extern const struct cm_http_page cm_steer_ready_pages[];
 
-/** Metrics page; the user of its site is a struct cm_steer. */
+/** Pages with the metrics and with explanations of placements; the user of
+ * their site is a struct cm_steer. */
 extern const struct cm_http_page cm_steer_metrics_pages[];
 
 #endif
--- a/tests/scripts/cases/command_line.sh
+++ b/tests/scripts/cases/command_line.sh
@@ -29,7 +29,7 @@
 run
 run bogus
 run --bogus
-for command in entry check publish status; do
+for command in entry check publish status explain; do
 	run $command --help
 	run $command --version
 	run $command --bogus
--- a/tests/scripts/cases/operations_page.sh
+++ b/tests/scripts/cases/operations_page.sh
@@ -29,6 +29,7 @@
 compare 'Gauges of steering' src/daemon/steer_gauge.h
 compare Histograms include/chervilmast/histogram.h
 compare 'Log events' src/daemon/log_event.h
+compare 'Exclusions of a placement' include/chervilmast/steer_explain.h
 
 echo '# every name in the text is a counter, gauge, event, key or command'
 {
@@ -37,6 +38,7 @@
 	names src/daemon/steer_gauge.h
 	names include/chervilmast/histogram.h
 	names src/daemon/log_event.h
+	names include/chervilmast/steer_explain.h
 	sed -n 's/^| `\([a-z_.]*\)` .*/\1/p' examples/README.md
 } | sort -u >"$dir/known"
 grep -oE '`[a-z]+_[a-z_]+`' "$page" | tr -d '`' | sort -u >"$dir/used"
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -1,8 +1,9 @@
 /**
  * DOC: Commands of the stand-in program
  *
- * A test program that stands in for the platform's key-value service ("store")
- * and for the fabric with its callers and backend servers ("world").
+ * A test program that stands in for the platform's key-value service ("store",
+ * or "platform" for instances that steer by token) and for the fabric with its
+ * callers and backend servers ("world").
  */
 #ifndef STANDIN_STANDIN_H
 #define STANDIN_STANDIN_H
@@ -16,6 +17,15 @@
  */
 int standin_store(int argc, char **argv);
 
+/**
+ * standin_platform() - serve the platform's store over HTTP until SIGTERM
+ * @argc: number of arguments
+ * @argv: "platform" PORT FILE; FILE holds the initial keys as a JSON object
+ *
+ * Return: exit code.
+ */
+int standin_platform(int argc, char **argv);
+
 /**
  * standin_set_faults() - set the faults of a running store
  * @argc: number of arguments
--- a/tests/unit/test_steer_explain.c
+++ b/tests/unit/test_steer_explain.c
@@ -6,6 +6,7 @@
 #include "chervilmast/error.h"
 #include "chervilmast/steer_explain.h"
 #include "chervilmast/steer_report.h"
+#include "daemon/explain_page.h"
 #include "unit/steering.h"
 
 #define FLOWS 300
@@ -370,3 +371,36 @@
 	for (uint32_t i = 0; i < CM_EXPLAIN_ROWS_MAX; i++)
 		ck_assert_uint_eq(service->candidates[i].cost.total, 1000);
 }
+
+/* Query of the page, its HTTP status and the first word of its text. */
+static const struct {
+	const char *query;
+	unsigned int status;
+	const char *text;
+} queries[] = {
+	{ "route=198.18.0.1:443", 200, "route=198.18.0.1:443 " },
+	{ "avoid=0&route=198.18.0.1:443", 400, "bad-token\n" },
+	{ "route=198.18.0.1:443&avoid=12345678", 404,
+	  "unknown-backend-server\n" },
+	{ "route=198.18.0.9:443", 404, "unknown-route\n" },
+	{ "route=198.18.0.1:0", 400, "bad-address\n" },
+	{ "route=", 400, "bad-address\n" },
+	{ "avoid=1", 400, "missing-key\n" },
+	{ "", 400, "missing-key\n" },
+	{ "&", 400, "unknown-key\n" },
+	{ "route=198.18.0.1:443#x", 400, "bad-address\n" },
+};
+
+TEST_TABLE(page_answers_each_query_with_its_status, queries)
+{
+	unsigned int status = 200;
+	char *text;
+
+	steering_make_ready(1);
+	text = cm_explain_page_render(&steering, queries[_i].query, &status);
+	ck_assert_uint_eq(status, queries[_i].status);
+	ck_assert_msg(
+		!strncmp(text, queries[_i].text, strlen(queries[_i].text)),
+		"%s", text);
+	free(text);
+}
