--- a/src/core/steer_explain.c
+++ b/src/core/steer_explain.c
@@ -36,7 +36,7 @@
 {
 	static const char *const names[] = { [CM_EXCLUDED_NOT] = "none",
 #define CM_EXCLUSION_NAME(constant, name, evidence) \
-	[CM_EXCLUDED_##constant] = name,
+	[CM_EXCLUDED_##constant] = (name),
 					     CM_EXCLUSIONS(CM_EXCLUSION_NAME)
 #undef CM_EXCLUSION_NAME
 	};
@@ -49,7 +49,7 @@
 	static const char *const sources[] = {
 		[CM_EXCLUDED_NOT] = "none",
 #define CM_EXCLUSION_EVIDENCE(constant, name, evidence) \
-	[CM_EXCLUDED_##constant] = evidence,
+	[CM_EXCLUDED_##constant] = (evidence),
 		CM_EXCLUSIONS(CM_EXCLUSION_EVIDENCE)
 #undef CM_EXCLUSION_EVIDENCE
 	};
--- a/tests/scripts/cases/explain.sh
+++ b/tests/scripts/cases/explain.sh
@@ -100,5 +100,10 @@
 	curl -s -w '%{http_code}\n' "http://127.0.0.6:19100/explain$query"
 done
 
+echo '# the instance is paused'
+kill -STOP $pid
+run --settings settings.json --route 198.18.0.1:443
+kill -CONT $pid
+
 kill -TERM $pid $store
 wait $pid $store
--- a/tests/unit/test_steer_explain.c
+++ b/tests/unit/test_steer_explain.c
@@ -317,11 +317,24 @@
 	ck_assert_mem_eq(without, with, sizeof(with));
 }
 
+/* Copies all servers, in the order in which they were added. */
+static struct cm_steer_server *copy_servers(void)
+{
+	struct cm_steer_server *copies =
+		calloc(steering.servers.count, sizeof(*copies));
+	const struct cm_steer_server *server;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH (server, &steering.servers.all, link)
+		copies[count++] = *server;
+	return copies;
+}
+
 /* Guards against an explanation that changes the state of a server, of the sums
  * or of the instance. */
 TEST(explanation_changes_no_state)
 {
-	static struct cm_steer_server before[20], after[20];
+	struct cm_steer_server *before, *after;
 	struct cm_server_pool *pool, pool_before;
 	struct cm_steer_domains domains;
 	uint64_t examined;
@@ -331,18 +344,19 @@
 	pool = find_server(1)->pool;
 	find_server(1)->cold_until_ms = steering_ms + COLD_LEFT_MS;
 	steering_ms += 500;
-	for (uint64_t i = 0; i < 20; i++)
-		before[i] = *find_server(i < 10 ? i + 1 : i + 91);
+	before = copy_servers();
 	pool_before = *pool;
 	domains = steering.peers.domains;
 	examined = steering.servers_examined;
 	explain(0);
-	for (uint64_t i = 0; i < 20; i++)
-		after[i] = *find_server(i < 10 ? i + 1 : i + 91);
-	ck_assert_mem_eq(before, after, sizeof(after));
+	after = copy_servers();
+	ck_assert_mem_eq(before, after,
+			 steering.servers.count * sizeof(*after));
 	ck_assert_mem_eq(&pool_before, pool, sizeof(pool_before));
 	ck_assert_mem_eq(&domains, &steering.peers.domains, sizeof(domains));
 	ck_assert_uint_eq(steering.servers_examined, examined);
+	free(before);
+	free(after);
 }
 
 /* The explained server is the one that the next flow gets, and a candidate. */
