--- a/tests/unit/test_steer_explain.c
+++ b/tests/unit/test_steer_explain.c
@@ -5,7 +5,6 @@
 
 #include "chervilmast/error.h"
 #include "chervilmast/steer_explain.h"
-#include "chervilmast/steer_report.h"
 #include "daemon/explain_page.h"
 #include "unit/steering.h"
 
