--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -30,6 +30,7 @@
 	X(DOMAIN_CHECK, "domain-check")           \
 	X(DOWN_REPORTERS, "down-reporters")       \
 	X(EJECTION, "ejection")                   \
+	X(EXPLAIN_RESTORE, "explain-restore")     \
 	X(FAILING_COST, "failing-cost")           \
 	X(FAILING_SERVER, "failing-server")       \
 	X(GONE_OBSERVED, "gone-observed")         \
