Keep idle long flows in the flow table and count their mean load

Cause: a flow was forgotten 1.5 s after its last packet, so idle long flows counted for nothing, and a flow whose instance was lost was never counted.

Ruled out: counting each idle flow as one busy slot, as flows of one request are: multiplied by the instances it made every server look full.

A long flow counts with work divided by interval and is kept for 15 s without packets, in a list of its own that ticks do not examine. Data with a valid token and without a flow adds the flow as adopted, without service time or result. Flows of one request count as before. The service time of a flow with pauses is the time to its first response.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -208,6 +208,10 @@
 	  "packets of open flows dropped because no server has their token")   \
 	X(STEER_FLOW_FORGOTTEN, "steer_flow_forgotten",                        \
 	  "flows evicted because the flow table was full")                     \
+	X(STEER_FLOW_ADOPTED, "steer_flow_adopted",                            \
+	  "open flows of other instances added to the flow table")             \
+	X(STEER_FLOW_KEPT, "steer_flow_kept",                                  \
+	  "idle flows kept because further requests are expected")             \
 	X(STEER_FLOW_FAILED, "steer_flow_failed",                              \
 	  "flows that got an error or no answer")                              \
 	X(STEER_EJECTED, "steer_ejected",                                      \
--- a/include/chervilmast/server_pool.h
+++ b/include/chervilmast/server_pool.h
@@ -67,7 +67,8 @@
  * @service_hash: hash of the name of the service
  * @groups: the servers by failure domain
  * @count: number of servers
- * @open_flows: sum of @open_flows of the servers in @groups
+ * @own_load: sum of the loads of this instance's flows at the servers in
+ *            @groups, thousandths of a slot
  * @handshake_ms_eighths: smoothed time from SYN to the caller's next packet,
  *                        eighths of ms; 0 when unknown
  * @response_time: estimated time from request to response
@@ -79,7 +80,7 @@
 	uint64_t service_hash;
 	struct cm_server_group_list groups;
 	uint32_t count;
-	uint32_t open_flows;
+	uint32_t own_load;
 	uint32_t handshake_ms_eighths;
 	struct cm_response_time response_time;
 	struct cm_pool_sums sums;
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -94,6 +94,7 @@
  * @servers: the backend servers
  * @peers: all instances in the registry, this one included
  * @flows: flows whose SYN this instance forwarded
+ * @routes: flows of each route, as this instance observes them
  * @domains_out: failure domains that are out of service
  * @registry_confirmed_ms: latest time at which the registry data was known to
  *                         be current, ms; 0 for never
@@ -128,6 +129,7 @@
 	struct cm_steer_servers servers;
 	struct cm_steer_peers peers;
 	struct cm_steer_flows flows;
+	struct cm_route_loads routes;
 	struct cm_domain_out domains_out[CM_STEER_DOMAINS_OUT_MAX];
 	uint64_t registry_confirmed_ms;
 	uint64_t registry_restored_ms;
--- a/include/chervilmast/steer_server.h
+++ b/include/chervilmast/steer_server.h
@@ -15,6 +15,7 @@
 #include "chervilmast/flow_key.h"
 #include "chervilmast/note.h"
 #include "chervilmast/server_health.h"
+#include "chervilmast/server_load.h"
 #include "chervilmast/server_pool.h"
 
 /** Hash buckets of a server table; a power of two. */
@@ -70,6 +71,7 @@
  * @cold_refilled_ms: when @cold_tokens was last refilled, ms
  * @open_flows: number of this instance's flows at the server, from the SYN
  *              until their end or until the SYN counts as unanswered
+ * @load: load of the server, as far as this instance knows it
  * @choice_seq: sequence number of the last choice of the server
  * @health: health as this instance observes it
  * @by_token: link in the bucket of its token
@@ -93,6 +95,7 @@
 	uint64_t cold_tokens;
 	uint64_t cold_refilled_ms;
 	uint32_t open_flows;
+	struct cm_server_load load;
 	uint64_t choice_seq;
 	struct cm_server_health health;
 	LIST_ENTRY(cm_steer_server) by_token;
--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -218,18 +218,17 @@
 }
 
 /*
- * Estimates the open flows per slot of a server, thousandths. Each instance
- * that sends flows to the server is assumed to have as many open there as this
- * one.
+ * Estimates the load per slot of a server, thousandths. Each instance that
+ * sends flows to the server is assumed to cause as much load there as this one.
  */
 static uint64_t load_per_mille(const struct cm_steer_server *server,
 			       const struct cm_steer *steer,
 			       const struct cm_choice_context *context)
 {
-	if (!server->open_flows)
+	if (!server->load.own)
 		return 0;
-	return (uint64_t)server->open_flows *
-	       cm_server_sending_instances(server, steer, context) * PER_MILLE /
+	return (uint64_t)server->load.own *
+	       cm_server_sending_instances(server, steer, context) /
 	       server->entry.slots;
 }
 
@@ -252,21 +251,21 @@
 }
 
 /*
- * Estimates how many of the service's open flows are at its servers rather than
- * on the network. The share on the network is the time of FLOW_ROUND_TRIPS mean
- * handshakes divided by the mean duration of a flow.
+ * Estimates how much of the load of the service's open flows is at its servers
+ * rather than on the network, thousandths of a slot. The share on the network
+ * is the time of FLOW_ROUND_TRIPS mean handshakes divided by the mean duration
+ * of a flow.
  */
-static uint64_t flows_at_servers(const struct cm_server_pool *pool)
+static uint64_t load_at_servers(const struct cm_server_pool *pool)
 {
 	uint64_t network_sum = (uint64_t)pool->handshake_ms_eighths *
 			       FLOW_ROUND_TRIPS * pool->sums.service_time_count;
 	uint64_t total_sum = pool->sums.service_time_sum;
 
 	if (!total_sum)
-		return pool->open_flows;
+		return pool->own_load;
 	return network_sum < total_sum ?
-		       pool->open_flows * (total_sum - network_sum) /
-			       total_sum :
+		       pool->own_load * (total_sum - network_sum) / total_sum :
 		       0;
 }
 
@@ -275,8 +274,8 @@
 {
 	const struct cm_server_pool *pool = context->pool;
 
-	return flows_at_servers(pool) * known_instances(steer) >
-	       pool->sums.slots * FULL_FLOWS_PER_SLOT;
+	return load_at_servers(pool) * known_instances(steer) >
+	       pool->sums.slots * FULL_FLOWS_PER_SLOT * CM_LOAD_SLOT;
 }
 
 /*
--- a/src/core/server_pool.c
+++ b/src/core/server_pool.c
@@ -161,7 +161,7 @@
 	server->pool = pool;
 	server->group = group;
 	pool->count++;
-	pool->open_flows += server->open_flows;
+	pool->own_load += server->load.own;
 	pool->summed_ms = 0;
 	return CM_OK;
 }
@@ -180,7 +180,8 @@
 		group->next_index = 0;
 	server->group = NULL;
 	server->pool = NULL;
-	pool->open_flows -= server->open_flows;
+	pool->own_load -= server->load.own < pool->own_load ? server->load.own :
+							      pool->own_load;
 	pool->summed_ms = 0;
 	if (!group->count)
 		group_free(group);
@@ -191,8 +192,6 @@
 void cm_server_pool_flow_opened(struct cm_steer_server *server)
 {
 	server->open_flows++;
-	if (server->pool)
-		server->pool->open_flows++;
 }
 
 void cm_server_pool_syn_answered(struct cm_server_pool *pool, uint32_t took_ms)
@@ -205,9 +204,6 @@
 
 void cm_server_pool_flow_closed(struct cm_steer_server *server)
 {
-	if (!server->open_flows)
-		return;
-	server->open_flows--;
-	if (server->pool)
-		server->pool->open_flows--;
+	if (server->open_flows)
+		server->open_flows--;
 }
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -99,6 +99,13 @@
 	return packet->waited_ms >= LAST_SYN_TIMEOUT_MS;
 }
 
+static void count_flow(const struct cm_steer *steer, struct cm_steer_flow *flow,
+		       struct cm_steer_server *server)
+{
+	cm_server_pool_flow_opened(server);
+	cm_server_load_count(server, flow, steer->active_ms);
+}
+
 /*
  * Adds a flow to the table. The server's open_flows includes the flow from its
  * SYN on, although is_open is set only when the SYN was answered. If the caller
@@ -120,10 +127,13 @@
 				  now_ms, steer->active_ms);
 	if (!flow)
 		cm_counters_add(&steer->counters, CM_C_DROP_MEMORY);
-	else if (caller_may_have_given_up(packet))
+	if (!flow)
+		return;
+	flow->route = cm_route_loads_find(&steer->routes, &packet->key.service);
+	if (caller_may_have_given_up(packet))
 		cm_steer_flows_set_syn_result(&steer->flows, flow, false);
 	else
-		cm_server_pool_flow_opened(server);
+		count_flow(steer, flow, server);
 }
 
 /*
@@ -314,13 +324,14 @@
 	struct cm_steer_domain *domain;
 
 	if (flow->is_unanswered)
-		cm_server_pool_flow_opened(server);
+		count_flow(steer, flow, server);
 	else
 		cm_steer_flows_set_syn_result(&steer->flows, flow, true);
 	flow->is_unanswered = false;
 	flow->is_open = true;
 	flow->first_ack = packet->ack;
 	flow->last_ack = packet->ack;
+	flow->counted_ack = packet->ack;
 	cm_histograms_add(&steer->histograms, CM_H_SYN_ANSWER,
 			  now_ms - flow->syn_ms);
 	steer->unanswered_syns = 0;
@@ -345,9 +356,10 @@
 	if (!flow->has_request)
 		flow->request_active_ms = steer->active_ms;
 	flow->has_request = true;
+	cm_server_load_data_sent(flow, steer->active_ms);
 }
 
-static void record_response(const struct cm_steer *steer,
+static void record_response(const struct cm_steer *steer, uint64_t now_ms,
 			    struct cm_steer_flow *flow,
 			    struct cm_steer_server *server)
 {
@@ -355,6 +367,7 @@
 	    flow->last_ack == flow->first_ack)
 		return;
 	flow->has_response = true;
+	flow->response_ms = (uint32_t)(now_ms - flow->syn_ms);
 	if (server->pool)
 		cm_response_time_add(
 			&server->pool->response_time,
@@ -365,10 +378,47 @@
 		       struct cm_steer_flow *flow,
 		       struct cm_steer_server *server)
 {
-	uint64_t took_ms = now_ms - flow->syn_ms;
-
+	cm_server_load_flow_ended(flow);
 	cm_steer_record_flow_result(steer, now_ms, flow, server);
-	cm_histograms_add(&steer->histograms, CM_H_FLOW, took_ms);
+	if (!flow->is_adopted)
+		cm_histograms_add(&steer->histograms, CM_H_FLOW,
+				  now_ms - flow->syn_ms);
+}
+
+/*
+ * Adds an open flow whose instance was lost, or which this one has forgotten,
+ * so that it counts in the load of its server. It has no start and no first
+ * response, so it yields neither a service time nor a result. Evicts only kept
+ * flows: a flow with a result to come is worth more.
+ */
+static struct cm_steer_flow *adopt_flow(struct cm_steer *steer, uint64_t now_ms,
+					const struct cm_steer_packet *packet,
+					struct cm_steer_server *server)
+{
+	struct cm_steer_flow *flow;
+
+	if (!packet->data_length || server->listing == CM_LEFT ||
+	    (packet->flags & (CM_STEER_FIN | CM_STEER_RST)) ||
+	    cm_switched_off(CM_SWITCH_SERVER_LOAD))
+		return NULL;
+	if (cm_steer_flows_is_full(&steer->flows)) {
+		flow = cm_steer_flows_least_recent(&steer->flows);
+		if (!flow || !flow->is_kept)
+			return NULL;
+		cm_counters_add(&steer->counters, CM_C_STEER_FLOW_FORGOTTEN);
+		cm_steer_remove_flow(steer, flow);
+	}
+	flow = cm_steer_flows_adopt(&steer->flows, &packet->key, server->token,
+				    now_ms);
+	if (!flow)
+		return NULL;
+	flow->route = cm_route_loads_find(&steer->routes, &packet->key.service);
+	flow->has_response = true;
+	flow->first_ack = packet->ack;
+	flow->counted_ack = packet->ack;
+	count_flow(steer, flow, server);
+	cm_counters_add(&steer->counters, CM_C_STEER_FLOW_ADOPTED);
+	return flow;
 }
 
 static void update_flow(struct cm_steer *steer, uint64_t now_ms,
@@ -378,18 +428,23 @@
 	struct cm_steer_flow *flow =
 		cm_steer_flows_find(&steer->flows, &packet->key);
 
+	if (!flow)
+		flow = adopt_flow(steer, now_ms, packet, server);
 	if (!flow || flow->token != packet->token)
 		return;
 	if (!flow->is_open && !(packet->flags & CM_STEER_RST))
 		record_syn_answer(steer, now_ms, packet, flow, server);
 	if (packet->flags & CM_STEER_ACK)
 		flow->last_ack = packet->ack;
+	cm_server_load_acked(flow, steer->active_ms, packet->data_length > 0);
 	if (packet->data_length)
 		record_request(steer, flow);
-	record_response(steer, flow, server);
-	cm_steer_flows_touch(&steer->flows, flow, now_ms);
+	record_response(steer, now_ms, flow, server);
+	if (!flow->is_unanswered)
+		cm_server_load_count(server, flow, steer->active_ms);
 	if (packet->flags & CM_STEER_FIN)
 		record_end(steer, now_ms, flow, server);
+	cm_steer_flows_touch(&steer->flows, flow, now_ms);
 	if (packet->flags & (CM_STEER_FIN | CM_STEER_RST))
 		cm_steer_remove_flow(steer, flow);
 }
--- a/src/core/steer_flow.c
+++ b/src/core/steer_flow.c
@@ -17,12 +17,15 @@
 	memset(flows, 0, sizeof(*flows));
 	TAILQ_INIT(&flows->opening);
 	TAILQ_INIT(&flows->lru);
+	TAILQ_INIT(&flows->kept);
 	TAILQ_INIT(&flows->free_list);
 	flows->max = max;
 }
 
 void cm_steer_flows_finish(struct cm_steer_flows *flows)
 {
+	while (!TAILQ_EMPTY(&flows->kept))
+		cm_steer_flows_remove(flows, TAILQ_FIRST(&flows->kept));
 	while (!TAILQ_EMPTY(&flows->lru))
 		cm_steer_flows_remove(flows, TAILQ_FIRST(&flows->lru));
 	while (!TAILQ_EMPTY(&flows->free_list)) {
@@ -55,10 +58,9 @@
 	return flow;
 }
 
-struct cm_steer_flow *cm_steer_flows_add(struct cm_steer_flows *flows,
-					 const struct cm_flow_key *key,
-					 uint32_t token, uint64_t now_ms,
-					 uint64_t active_ms)
+static struct cm_steer_flow *add_flow(struct cm_steer_flows *flows,
+				      const struct cm_flow_key *key,
+				      uint32_t token, uint64_t now_ms)
 {
 	struct cm_steer_flow *flow = alloc_flow(flows);
 
@@ -67,15 +69,54 @@
 	flow->key = *key;
 	flow->token = token;
 	flow->syn_ms = now_ms;
-	flow->syn_active_ms = active_ms;
 	flow->last_ms = now_ms;
 	LIST_INSERT_HEAD(flow_bucket(flows, key), flow, bucket);
-	TAILQ_INSERT_TAIL(&flows->opening, flow, opening);
 	TAILQ_INSERT_TAIL(&flows->lru, flow, link);
 	flows->count++;
 	return flow;
 }
 
+struct cm_steer_flow *cm_steer_flows_add(struct cm_steer_flows *flows,
+					 const struct cm_flow_key *key,
+					 uint32_t token, uint64_t now_ms,
+					 uint64_t active_ms)
+{
+	struct cm_steer_flow *flow = add_flow(flows, key, token, now_ms);
+
+	if (!flow)
+		return NULL;
+	flow->syn_active_ms = active_ms;
+	TAILQ_INSERT_TAIL(&flows->opening, flow, opening);
+	return flow;
+}
+
+struct cm_steer_flow *cm_steer_flows_adopt(struct cm_steer_flows *flows,
+					   const struct cm_flow_key *key,
+					   uint32_t token, uint64_t now_ms)
+{
+	struct cm_steer_flow *flow = add_flow(flows, key, token, now_ms);
+
+	if (!flow)
+		return NULL;
+	flow->is_adopted = true;
+	flow->is_open = true;
+	return flow;
+}
+
+static struct cm_steer_flow_list *list_of(struct cm_steer_flows *flows,
+					  const struct cm_steer_flow *flow)
+{
+	return flow->is_kept ? &flows->kept : &flows->lru;
+}
+
+void cm_steer_flows_keep(struct cm_steer_flows *flows,
+			 struct cm_steer_flow *flow)
+{
+	TAILQ_REMOVE(&flows->lru, flow, link);
+	flow->is_kept = true;
+	TAILQ_INSERT_TAIL(&flows->kept, flow, link);
+}
+
 bool cm_steer_flows_is_full(const struct cm_steer_flows *flows)
 {
 	return flows->count >= flows->max;
@@ -84,14 +125,17 @@
 struct cm_steer_flow *
 cm_steer_flows_least_recent(const struct cm_steer_flows *flows)
 {
-	return TAILQ_FIRST(&flows->lru);
+	struct cm_steer_flow *kept = TAILQ_FIRST(&flows->kept);
+
+	return kept ? kept : TAILQ_FIRST(&flows->lru);
 }
 
 void cm_steer_flows_touch(struct cm_steer_flows *flows,
 			  struct cm_steer_flow *flow, uint64_t now_ms)
 {
 	flow->last_ms = now_ms;
-	TAILQ_REMOVE(&flows->lru, flow, link);
+	TAILQ_REMOVE(list_of(flows, flow), flow, link);
+	flow->is_kept = false;
 	TAILQ_INSERT_TAIL(&flows->lru, flow, link);
 }
 
@@ -109,7 +153,7 @@
 	if (!flow->is_open && !flow->is_unanswered)
 		TAILQ_REMOVE(&flows->opening, flow, opening);
 	LIST_REMOVE(flow, bucket);
-	TAILQ_REMOVE(&flows->lru, flow, link);
+	TAILQ_REMOVE(list_of(flows, flow), flow, link);
 	TAILQ_INSERT_HEAD(&flows->free_list, flow, link);
 	flows->count--;
 }
--- a/src/core/steer_flow_result.c
+++ b/src/core/steer_flow_result.c
@@ -8,6 +8,11 @@
  * caller still waits for a response, ms.
  */
 #define FLOW_IDLE_MS 1500
+/**
+ * Time without packets after which a flow is removed that is expected to carry
+ * further requests, ms; several times the usual pause between two requests.
+ */
+#define LONG_FLOW_IDLE_MS 15000
 
 static void add_result(struct cm_steer_flow_results *results,
 		       const struct cm_steer_server *server)
@@ -34,19 +39,33 @@
 	cm_steer_changes_add(&steer->changes, &change);
 }
 
+/*
+ * Service time of a flow that ends now. For a flow with pauses between its
+ * requests it is the time to the first response, as the pauses are the
+ * caller's.
+ */
+static uint32_t service_ms(const struct cm_steer_flow *flow, uint64_t now_ms)
+{
+	if (flow->response_ms && (cm_server_load_is_long(flow) ||
+				  now_ms >= flow->last_ms + FLOW_IDLE_MS))
+		return flow->response_ms;
+	return (uint32_t)(now_ms - flow->syn_ms);
+}
+
 /*
  * The results are kept until the next message to the source of the failure
  * domain; an instance that is itself the source evaluates them. Results beyond
- * CM_STEER_RESULTS_MAX are dropped.
+ * CM_STEER_RESULTS_MAX are dropped. An adopted flow has no result, as its begin
+ * was not seen.
  */
 void cm_steer_record_flow_result(struct cm_steer *steer, uint64_t now_ms,
 				 struct cm_steer_flow *flow,
 				 struct cm_steer_server *server)
 {
-	if (flow->has_failed)
+	if (flow->has_failed || flow->is_adopted)
 		return;
 	if (!cm_server_health_flow_ended(
-		    &server->health, (uint32_t)(now_ms - flow->syn_ms),
+		    &server->health, service_ms(flow, now_ms),
 		    flow->last_ack - flow->first_ack, now_ms)) {
 		add_result(&steer->successes, server);
 		return;
@@ -69,7 +88,7 @@
  */
 static bool waits_for_response(const struct cm_steer_flow *flow)
 {
-	return flow->is_open && flow->has_request &&
+	return flow->is_open && flow->has_request && !flow->is_adopted &&
 	       cm_server_health_is_failure(flow->last_ack - flow->first_ack);
 }
 
@@ -89,9 +108,19 @@
 	return !waits && now_ms >= flow->last_ms + FLOW_IDLE_MS;
 }
 
+static void keep_or_remove(struct cm_steer *steer, struct cm_steer_flow *flow)
+{
+	if (!flow->is_open || !cm_server_load_is_long(flow)) {
+		cm_steer_remove_flow(steer, flow);
+		return;
+	}
+	cm_steer_flows_keep(&steer->flows, flow);
+	cm_counters_add(&steer->counters, CM_C_STEER_FLOW_KEPT);
+}
+
 void cm_steer_check_idle_flows(struct cm_steer *steer, uint64_t now_ms)
 {
-	struct cm_steer_flow *flow = cm_steer_flows_least_recent(&steer->flows);
+	struct cm_steer_flow *flow = TAILQ_FIRST(&steer->flows.lru);
 
 	/*
 	 * Flows that were active later are examined in a later call; no
@@ -101,9 +130,14 @@
 		struct cm_steer_flow *next = TAILQ_NEXT(flow, link);
 
 		if (check_idle_flow(steer, now_ms, flow))
-			cm_steer_remove_flow(steer, flow);
+			keep_or_remove(steer, flow);
 		flow = next;
 	}
+	flow = TAILQ_FIRST(&steer->flows.kept);
+	while (flow && now_ms >= flow->last_ms + LONG_FLOW_IDLE_MS) {
+		cm_steer_remove_flow(steer, flow);
+		flow = TAILQ_FIRST(&steer->flows.kept);
+	}
 }
 
 static uint32_t take_results(struct cm_steer *steer,
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -44,10 +44,13 @@
 	cm_steer_changes_add(&steer->changes, &change);
 }
 
-static void decrement_open_flows(struct cm_steer_server *server)
+static void decrement_open_flows(struct cm_steer_server *server,
+				 struct cm_steer_flow *flow)
 {
-	if (server)
-		cm_server_pool_flow_closed(server);
+	if (!server)
+		return;
+	cm_server_pool_flow_closed(server);
+	cm_server_load_uncount(server, flow);
 }
 
 /*
@@ -60,7 +63,7 @@
 		cm_steer_servers_find_by_token(&steer->servers, flow->token);
 
 	if (!flow->is_unanswered)
-		decrement_open_flows(server);
+		decrement_open_flows(server, flow);
 	cm_steer_flows_remove(&steer->flows, flow);
 }
 
@@ -78,7 +81,7 @@
 	bool is_newly_suspected;
 
 	cm_steer_flows_set_syn_result(&steer->flows, flow, false);
-	decrement_open_flows(server);
+	decrement_open_flows(server, flow);
 	steer->unanswered_syns++;
 	cm_steer_record_change(steer, CM_STEER_CHANGE_UNANSWERED, &flow->key,
 			       server);
--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -62,6 +62,7 @@
 	X(RESET_NUMBER, "reset-number")           \
 	X(RETRY_BUDGET, "retry-budget")           \
 	X(SENDER_CHECK, "sender-check")           \
+	X(SERVER_LOAD, "server-load")             \
 	X(SERVER_REPORT, "server-report")         \
 	X(SERVICE_CHECK, "service-check")         \
 	X(SILENT_REPORT, "silent-report")         \
