Exchange the loads of servers through the source

Cause: an instance multiplied its own open flows by the number of instances, so that the load at a server was a guess.

Ruled out: surplus elements of the messages, as the present codec refuses them (CM_E_TOO_LARGE) and a source of the previous version would be skipped. Ruled out too: one expiry for each pair, which would make an instance repeat all of its loads all the time.

Change: ITEMS_REQUEST and ITEMS end with an optional map from number to value; unknown numbers are ignored. Loads that changed most come first, others in turn, at most 80 a second in each direction. The source (load_table.c) keeps the loads by instance, removes them after 5 s without a report, at once when the instance leaves the members, and when the instance begins a new series of reports after its own or the source's restart. It sends sums only when three of four other members have reported all of their loads.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -212,6 +212,12 @@
 	  "open flows of other instances added to the flow table")             \
 	X(STEER_FLOW_KEPT, "steer_flow_kept",                                  \
 	  "idle flows kept because further requests are expected")             \
+	X(STEER_LOADS_KNOWN, "steer_loads_known",                              \
+	  "times that the loads caused by other instances became known")       \
+	X(STEER_LOADS_UNKNOWN, "steer_loads_unknown",                          \
+	  "times that the loads caused by other instances became too old")     \
+	X(STEER_LOADS_EXPIRED, "steer_loads_expired",                          \
+	  "instances whose loads this source removed: they stopped reporting") \
 	X(STEER_FLOW_FAILED, "steer_flow_failed",                              \
 	  "flows that got an error or no answer")                              \
 	X(STEER_EJECTED, "steer_ejected",                                      \
--- a/include/chervilmast/message_items.h
+++ b/include/chervilmast/message_items.h
@@ -4,6 +4,12 @@
  * An instance requests registry changes from the source of its failure domain,
  * and the source answers with them. Both messages also report the health of
  * backend servers.
+ *
+ * Optional fields follow the others in a map from number to value. A receiver
+ * ignores numbers that it does not know. Instances of versions before the map
+ * reject a message with it, so it is sent only to instances that are known to
+ * read it: a request says so by the invalid token 0 in @suspects, which such
+ * instances ignore, and an answer with the map says so of its sender.
  */
 #ifndef CHERVILMAST_MESSAGE_ITEMS_H
 #define CHERVILMAST_MESSAGE_ITEMS_H
@@ -13,6 +19,7 @@
 #include <stdint.h>
 
 #include "chervilmast/note.h"
+#include "chervilmast/server_load.h"
 
 /** Maximum number of tokens in one list of a message. */
 #define CM_MESSAGE_TOKENS_MAX 64
@@ -41,6 +48,12 @@
  *            one entry for each flow
  * @successes: servers of the sender's flows that succeeded since its last
  *             request, one entry for each flow
+ * @reads_optional: the sender reads optional fields
+ * @has_optional: the optional fields follow
+ * @loads_epoch: differs between series of reports of the sender; the receiver
+ *               forgets the loads of another series (optional)
+ * @loads_complete: with @loads, all loads of the sender are reported (optional)
+ * @loads: loads that the sender's flows put on servers (optional)
  */
 struct cm_message_items_request {
 	char name[CM_NAME_SIZE];
@@ -50,6 +63,11 @@
 	struct cm_message_tokens suspects;
 	struct cm_message_tokens failures;
 	struct cm_message_tokens successes;
+	bool reads_optional;
+	bool has_optional;
+	uint32_t loads_epoch;
+	bool loads_complete;
+	struct cm_load_list loads;
 };
 
 /**
@@ -88,6 +106,10 @@
  * @count: number of @items
  * @suspects: servers that instances in the sender's failure domain suspect
  * @ejected: servers that are ejected in the sender's failure domain
+ * @has_optional: the optional fields follow
+ * @loads_age_ms: age of @loads, ms (optional)
+ * @loads: loads that the flows of all instances of the failure domain but the
+ *         receiver put on servers (optional)
  */
 struct cm_message_items {
 	uint64_t after_revision;
@@ -100,6 +122,9 @@
 	uint32_t count;
 	struct cm_message_tokens suspects;
 	struct cm_message_tokens ejected;
+	bool has_optional;
+	uint64_t loads_age_ms;
+	struct cm_load_list loads;
 };
 
 #endif
--- a/include/chervilmast/server_load.h
+++ b/include/chervilmast/server_load.h
@@ -22,11 +22,31 @@
 /** Maximum number of routes with a record; further ones share records. */
 #define CM_ROUTE_LOADS_MAX 512
 /** Age from which the load known of other instances is not used, ms. */
-#define CM_LOAD_STALE_MS 3000
+#define CM_SERVER_LOAD_STALE_MS 3000
+
+/**
+ * Maximum rate at which loads of servers are sent to an instance, and by it;
+ * with 8 bytes each it bounds the traffic to 640 bytes/s in each direction.
+ */
+#define CM_LOADS_PER_S 80
+/** Maximum number of servers in a struct cm_load_list. */
+#define CM_LOAD_LIST_MAX 64
 
 struct cm_steer_flow;
 struct cm_steer_server;
 
+/**
+ * struct cm_load_list - loads of backend servers
+ * @tokens: token of each server
+ * @loads: load of each server, thousandths of a slot
+ * @count: number of @tokens and of @loads
+ */
+struct cm_load_list {
+	uint32_t tokens[CM_LOAD_LIST_MAX];
+	uint32_t loads[CM_LOAD_LIST_MAX];
+	uint32_t count;
+};
+
 /**
  * struct cm_route_load - flows of a route, as this instance observes them
  * @address: address of the route; port 0 for a free record
@@ -63,6 +83,7 @@
  * @others_ms: time at which @others was current, ms; 0 for never
  * @reported: load that was last reported to the source, thousandths
  * @report_seq: sequence number of the last report; 0 for none
+ * @zero_reports: number of successive reports of load 0
  */
 struct cm_server_load {
 	uint32_t own;
@@ -71,8 +92,18 @@
 	uint64_t others_ms;
 	uint32_t reported;
 	uint64_t report_seq;
+	uint32_t zero_reports;
 };
 
+/**
+ * cm_load_list_room() - maximum number of loads in a message
+ * @since_ms: time since the last message, ms
+ *
+ * Return: the number at which no more than CM_LOADS_PER_S loads are sent in a
+ * second, at most CM_LOAD_LIST_MAX.
+ */
+uint32_t cm_load_list_room(uint64_t since_ms);
+
 /**
  * cm_route_loads_find() - find or add the record of a route
  * @routes: the routes; zeroed before first use
@@ -146,7 +177,8 @@
  * @server: the server
  * @now_ms: current time, ms
  *
- * Return: false when it was never received or is older than CM_LOAD_STALE_MS.
+ * Return: false when it was never received or is older than
+ * CM_SERVER_LOAD_STALE_MS.
  */
 bool cm_server_load_is_known(const struct cm_steer_server *server,
 			     uint64_t now_ms);
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -95,6 +95,12 @@
  * @peers: all instances in the registry, this one included
  * @flows: flows whose SYN this instance forwarded
  * @routes: flows of each route, as this instance observes them
+ * @loads_reported_ms: when loads were last reported to the source, ms
+ * @load_report_seq: sequence number of the last report of loads
+ * @loads_known_ms: latest time at which loads of other instances were current,
+ *                  ms; 0 for never
+ * @loads_are_known: whether the loads of other instances were known at the last
+ *                   tick
  * @domains_out: failure domains that are out of service
  * @registry_confirmed_ms: latest time at which the registry data was known to
  *                         be current, ms; 0 for never
@@ -130,6 +136,10 @@
 	struct cm_steer_peers peers;
 	struct cm_steer_flows flows;
 	struct cm_route_loads routes;
+	uint64_t loads_reported_ms;
+	uint64_t load_report_seq;
+	uint64_t loads_known_ms;
+	bool loads_are_known;
 	struct cm_domain_out domains_out[CM_STEER_DOMAINS_OUT_MAX];
 	uint64_t registry_confirmed_ms;
 	uint64_t registry_restored_ms;
--- a/include/chervilmast/steer_change.h
+++ b/include/chervilmast/steer_change.h
@@ -26,6 +26,10 @@
  *                           failed in the failure domain
  * @CM_STEER_CHANGE_CUT_OFF: several consecutive SYNs, to any servers, got no
  *                           answer, so the instance itself may be cut off
+ * @CM_STEER_CHANGE_LOADS_KNOWN: the loads that other instances put on the
+ *                               servers became known
+ * @CM_STEER_CHANGE_LOADS_UNKNOWN: these loads are no longer known; they are
+ *                                 estimated from the instance's own flows
  * @CM_STEER_CHANGE_READY: the instance became ready for packets of the fabric
  * @CM_STEER_CHANGE_NOT_READY: the instance is no longer ready
  */
@@ -36,6 +40,8 @@
 	CM_STEER_CHANGE_FLOW_FAILED,
 	CM_STEER_CHANGE_EJECTED,
 	CM_STEER_CHANGE_CUT_OFF,
+	CM_STEER_CHANGE_LOADS_KNOWN,
+	CM_STEER_CHANGE_LOADS_UNKNOWN,
 	CM_STEER_CHANGE_READY,
 	CM_STEER_CHANGE_NOT_READY,
 };
@@ -47,7 +53,8 @@
  * @server_id: id of the server; 0 where there is none
  * @token: token of the server
  * @unanswered_syns: consecutive SYNs, to any servers, that were not answered
- * @waited_ms: time since the SYN, ms, for FLOW_FAILED
+ * @waited_ms: time since the SYN, ms, for FLOW_FAILED; age of the loads, ms,
+ * for LOADS_KNOWN and LOADS_UNKNOWN
  * @bytes: bytes of the response that the caller acknowledged, for FLOW_FAILED
  * @at_ms: time of the change, ms
  */
--- a/src/adapters/message_msgpack.c
+++ b/src/adapters/message_msgpack.c
@@ -173,25 +173,75 @@
 		msgpack_pack_uint64(packer, tokens->tokens[i]);
 }
 
+static void put_loads_list(msgpack_packer *packer,
+			   const struct cm_load_list *loads)
+{
+	for (uint32_t i = 0; i < loads->count; i++) {
+		msgpack_pack_uint64(packer, loads->tokens[i]);
+		msgpack_pack_uint64(packer, loads->loads[i]);
+	}
+}
+
+static void put_request_optional(msgpack_packer *packer,
+				 const struct cm_message_items_request *body)
+{
+	if (!body->has_optional)
+		return;
+	msgpack_pack_map(packer, 1);
+	msgpack_pack_uint64(packer, CM_OPTIONAL_LOADS);
+	msgpack_pack_array(packer, 2 + 2 * body->loads.count);
+	msgpack_pack_uint64(packer, body->loads_epoch);
+	msgpack_pack_uint64(packer, body->loads_complete);
+	put_loads_list(packer, &body->loads);
+}
+
+static void put_items_optional(msgpack_packer *packer,
+			       const struct cm_message_items *body)
+{
+	if (!body->has_optional)
+		return;
+	msgpack_pack_map(packer, body->loads.count ? 1 : 0);
+	if (!body->loads.count)
+		return;
+	msgpack_pack_uint64(packer, CM_OPTIONAL_LOADS);
+	msgpack_pack_array(packer, 1 + 2 * body->loads.count);
+	msgpack_pack_uint64(packer, body->loads_age_ms);
+	put_loads_list(packer, &body->loads);
+}
+
+/* Adds the token 0 if the sender reads optional fields. Without room for it
+ * the receiver sends none. */
+static void put_suspects(msgpack_packer *packer,
+			 const struct cm_message_items_request *body)
+{
+	struct cm_message_tokens suspects = body->suspects;
+
+	if (body->reads_optional && suspects.count < CM_MESSAGE_TOKENS_MAX)
+		suspects.tokens[suspects.count++] = 0;
+	put_tokens(packer, &suspects);
+}
+
 static void put_items_request(msgpack_packer *packer,
 			      const struct cm_message *message)
 {
-	msgpack_pack_array(packer, CM_ITEMS_REQUEST_FIELDS);
+	msgpack_pack_array(packer, CM_ITEMS_REQUEST_FIELDS +
+					   message->items_request.has_optional);
 	cm_map_put_text(packer, message->items_request.name);
 	msgpack_pack_uint64(packer, message->items_request.after_revision);
 	msgpack_pack_uint64(packer,
 			    message->items_request.snapshot_incarnation);
 	msgpack_pack_uint64(packer, message->items_request.requested_ms);
-	put_tokens(packer, &message->items_request.suspects);
+	put_suspects(packer, &message->items_request);
 	put_tokens(packer, &message->items_request.failures);
 	put_tokens(packer, &message->items_request.successes);
+	put_request_optional(packer, &message->items_request);
 }
 
 static void put_items(msgpack_packer *packer, const struct cm_message *message)
 {
 	const struct cm_message_items *body = &message->items;
 
-	msgpack_pack_array(packer, CM_ITEMS_FIELDS);
+	msgpack_pack_array(packer, CM_ITEMS_FIELDS + body->has_optional);
 	msgpack_pack_uint64(packer, body->after_revision);
 	msgpack_pack_uint64(packer, body->revision);
 	msgpack_pack_uint64(packer, body->requested_ms);
@@ -211,6 +261,7 @@
 	}
 	put_tokens(packer, &body->suspects);
 	put_tokens(packer, &body->ejected);
+	put_items_optional(packer, body);
 }
 
 typedef void put_body_function(msgpack_packer *packer,
--- a/src/adapters/message_reader.c
+++ b/src/adapters/message_reader.c
@@ -83,3 +83,13 @@
 		cm_reader_fail(reader, CM_E_TRUNCATED);
 	return inner;
 }
+
+struct cm_reader cm_reader_open_struct(struct cm_reader *reader,
+				       uint32_t fields)
+{
+	struct cm_reader inner = cm_reader_array(reader, CM_MESSAGE_ARRAY_MAX);
+
+	if (inner.remaining < fields)
+		cm_reader_fail(reader, CM_E_TRUNCATED);
+	return inner;
+}
--- a/src/adapters/message_reader.h
+++ b/src/adapters/message_reader.h
@@ -47,6 +47,13 @@
  */
 struct cm_reader cm_reader_struct(struct cm_reader *reader, uint32_t fields);
 
+/**
+ * cm_reader_open_struct() - return a reader of an array of at least @fields
+ * elements
+ */
+struct cm_reader cm_reader_open_struct(struct cm_reader *reader,
+				       uint32_t fields);
+
 /** cm_message_read_items_request() - read the body of ITEMS_REQUEST */
 void cm_message_read_items_request(struct cm_reader *outer,
 				   struct cm_message *message);
--- a/src/core/server_load.c
+++ b/src/core/server_load.c
@@ -6,6 +6,7 @@
 
 #define EIGHTHS 8
 #define PER_MILLE 1000
+#define MS_PER_S 1000
 /** Share of long flows from which a route's flows count as long, thousandths.
  */
 #define LONG_PER_MILLE 500
@@ -25,6 +26,15 @@
 /** Maximum of a sample of the interval and of the work, ms. */
 #define SAMPLE_MAX_MS 60000
 
+uint32_t cm_load_list_room(uint64_t since_ms)
+{
+	uint64_t room = since_ms < MS_PER_S ?
+				since_ms * CM_LOADS_PER_S / MS_PER_S :
+				CM_LOADS_PER_S;
+
+	return room < CM_LOAD_LIST_MAX ? (uint32_t)room : CM_LOAD_LIST_MAX;
+}
+
 struct cm_route_load *cm_route_loads_find(struct cm_route_loads *routes,
 					  const struct cm_endpoint *address)
 {
@@ -189,5 +199,5 @@
 {
 	return !cm_switched_off(CM_SWITCH_SERVER_LOAD) &&
 	       server->load.others_ms &&
-	       now_ms < server->load.others_ms + CM_LOAD_STALE_MS;
+	       now_ms < server->load.others_ms + CM_SERVER_LOAD_STALE_MS;
 }
--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -86,6 +86,14 @@
  */
 void cm_steer_check_idle_flows(struct cm_steer *steer, uint64_t now_ms);
 
+/**
+ * cm_steer_check_loads() - record whether the loads of other instances are
+ * known
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ */
+void cm_steer_check_loads(struct cm_steer *steer, uint64_t now_ms);
+
 /**
  * cm_steer_syn_is_overdue() - whether the answer to a SYN is overdue
  * @steer: the instance; its lock is held
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -262,6 +262,7 @@
 	cm_steer_advance_clock(steer, now_ms);
 	check_unanswered_syns(steer);
 	cm_steer_check_idle_flows(steer, now_ms);
+	cm_steer_check_loads(steer, now_ms);
 	if (now_ms > steer->config.flow_life_ms)
 		cm_steer_servers_expire(&steer->servers,
 					now_ms - steer->config.flow_life_ms);
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -29,6 +29,12 @@
 	feed->request_sent_ms = 0;
 	memset(&feed->suspects, 0, sizeof(feed->suspects));
 	memset(&feed->failures, 0, sizeof(feed->failures));
+	memset(&feed->loads, 0, sizeof(feed->loads));
+	feed->loads_source = 0;
+	feed->loads_epoch = (uint32_t)config->incarnation;
+	feed->own_loads_ms = 0;
+	feed->loads_answered_ms = 0;
+	memset(&feed->optional_address, 0, sizeof(feed->optional_address));
 	feed->is_registry_unreachable = false;
 	feed->was_current = false;
 	feed->swept_ms = 0;
@@ -36,6 +42,7 @@
 
 void cm_feed_finish(struct cm_feed *feed)
 {
+	cm_load_table_finish(&feed->loads);
 	cm_item_log_finish(&feed->items);
 	pthread_cond_destroy(&feed->wakeup);
 	pthread_mutex_destroy(&feed->lock);
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -14,6 +14,7 @@
 #include "chervilmast/failure_tally.h"
 #include "chervilmast/feed_choice.h"
 #include "chervilmast/item_log.h"
+#include "chervilmast/load_table.h"
 #include "chervilmast/message.h"
 #include "chervilmast/roster.h"
 #include "chervilmast/steer.h"
@@ -63,6 +64,15 @@
  * @suspects: servers that instances of the failure domain suspect
  * @failures: counts of the failed and successful flows that instances of the
  *            failure domain reported
+ * @loads: loads of servers that instances of the failure domain reported
+ * @loads_source: incarnation of the source to which loads are reported; 0 for
+ *                none
+ * @loads_epoch: series of the reports of loads
+ * @own_loads_ms: when this instance last recorded its own loads in @loads, ms
+ * @loads_answered_ms: time of the last answer of a source with optional fields,
+ *                     ms; 0 for none
+ * @optional_address: control address of the last source whose answer had
+ *                    optional fields
  * @is_registry_unreachable: the last call to the registry failed, and no usable
  *                           answer of the source was received since
  * @was_current: the copy was confirmed to be current at least once
@@ -92,6 +102,12 @@
 	uint64_t request_sent_ms;
 	struct cm_suspect_list suspects;
 	struct cm_failure_tally failures;
+	struct cm_load_table loads;
+	uint64_t loads_source;
+	uint32_t loads_epoch;
+	uint64_t own_loads_ms;
+	uint64_t loads_answered_ms;
+	struct cm_endpoint optional_address;
 	bool is_registry_unreachable;
 	bool was_current;
 	uint64_t swept_ms;
--- a/src/daemon/feed_events.c
+++ b/src/daemon/feed_events.c
@@ -56,9 +56,10 @@
 
 static void apply_peer_removal(void *user, const char *name)
 {
-	const struct cm_feed *feed = user;
+	struct cm_feed *feed = user;
 
 	cm_steer_remove_peer(feed->steer, name);
+	cm_load_table_remove(&feed->loads, name);
 	if (is_receiving_snapshot(feed))
 		return;
 	cm_log(CM_EVENT_PEER_GONE, "peer=%s", name);
--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -5,6 +5,7 @@
 #include "chervilmast/error.h"
 #include "chervilmast/steer_report.h"
 #include "feed_events.h"
+#include "feed_loads.h"
 #include "log.h"
 #include "ports/clock.h"
 
@@ -30,6 +31,7 @@
 	request->after_revision = feed->is_stale ? 0 : feed->items.revision;
 	if (feed->snapshot.sender_incarnation)
 		request->after_revision = feed->snapshot.after;
+	cm_feed_report_loads(feed, now_ms, request);
 	pthread_mutex_unlock(&feed->lock);
 	request->requested_ms = now_ms;
 	request->suspects.count = cm_steer_list_silent_servers(
@@ -191,6 +193,7 @@
 		error = apply_items(feed, now_ms, incarnation, items);
 	if (!error)
 		record_copy_age(feed, now_ms, items, is_usable);
+	cm_feed_apply_loads(feed, now_ms, from, incarnation, items);
 	pthread_mutex_unlock(&feed->lock);
 	cm_steer_apply_reports(feed->steer, now_ms, items->suspects.tokens,
 			       items->suspects.count);
@@ -363,6 +366,7 @@
 	error = add_items(feed, request, items);
 	exchange_suspects(feed, now_ms, &request->suspects, &items->suspects);
 	exchange_failures(feed, now_ms, request, &items->ejected);
+	cm_feed_exchange_loads(feed, now_ms, from, request, items);
 	pthread_mutex_unlock(&feed->lock);
 	cm_steer_apply_reports(feed->steer, now_ms, request->suspects.tokens,
 			       request->suspects.count);
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -29,6 +29,12 @@
 	X(LIBRARY, WARNING, "library", "a library logged a message")           \
 	X(LINES_LEFT_OUT, WARNING, "lines_left_out",                           \
 	  "log lines were dropped: lines counts them, of names their event")   \
+	X(LOADS_KNOWN, INFO, "loads_known",                                    \
+	  "the loads that other instances put on servers are known")           \
+	X(LOADS_UNKNOWN, WARNING, "loads_unknown",                             \
+	  "these loads are too old; they are estimated from own flows")        \
+	X(LOADS_EXPIRED, INFO, "loads_expired",                                \
+	  "this source removed the loads of instances that stopped reporting") \
 	X(MEMBER_ALIVE, INFO, "member_alive", "an instance is alive")          \
 	X(MEMBER_DEAD, WARNING, "member_dead",                                 \
 	  "an instance has stopped or sends no heartbeats")                    \
--- a/src/daemon/steer_log.c
+++ b/src/daemon/steer_log.c
@@ -10,6 +10,8 @@
 	[CM_STEER_CHANGE_FLOW_FAILED] = CM_EVENT_FLOW_FAILED,
 	[CM_STEER_CHANGE_EJECTED] = CM_EVENT_SERVER_EJECTED,
 	[CM_STEER_CHANGE_CUT_OFF] = CM_EVENT_CUT_OFF,
+	[CM_STEER_CHANGE_LOADS_KNOWN] = CM_EVENT_LOADS_KNOWN,
+	[CM_STEER_CHANGE_LOADS_UNKNOWN] = CM_EVENT_LOADS_UNKNOWN,
 	[CM_STEER_CHANGE_READY] = CM_EVENT_READY,
 	[CM_STEER_CHANGE_NOT_READY] = CM_EVENT_NOT_READY,
 };
@@ -61,11 +63,20 @@
 		       change->token, change->waited_ms, change->bytes);
 }
 
+static bool is_loads_change(const struct cm_steer_change *change)
+{
+	return change->kind == CM_STEER_CHANGE_LOADS_KNOWN ||
+	       change->kind == CM_STEER_CHANGE_LOADS_UNKNOWN;
+}
+
 static void log_change(const struct cm_steer_change *change)
 {
 	if (change->kind == CM_STEER_CHANGE_UNANSWERED ||
 	    change->kind == CM_STEER_CHANGE_FLOW_FAILED)
 		log_flow_change(change);
+	else if (is_loads_change(change))
+		cm_log(change_events[change->kind], "age_ms=%u",
+		       change->waited_ms);
 	else
 		cm_log(change_events[change->kind],
 		       "server=%llx token=%08x silent_syns=%u",
