Choose servers of long flows by the loads of all instances

Cause: the choice for long flows has to spread them evenly over servers by loads that are up to a second old, without changing the choice for flows of one request.

Change: the cost of a long flow is the weighted mean of the known load and of the estimate from own flows, for four servers in the instance's own order. Flows of one request ignore the loads unless the server is full and has twice the mean. An instance reports its loads as complete only once it knows the routes of its flows. Servers of other domains, whose loads are known in part only, do not count for whether loads are known.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -212,6 +212,10 @@
 	  "open flows of other instances added to the flow table")             \
 	X(STEER_FLOW_KEPT, "steer_flow_kept",                                  \
 	  "idle flows kept because further requests are expected")             \
+	X(STEER_CHOSEN_BY_LOADS, "steer_chosen_by_loads",                      \
+	  "choices for long flows that used the loads of all instances")       \
+	X(STEER_CHOSEN_BY_ESTIMATE, "steer_chosen_by_estimate",                \
+	  "choices for long flows that estimated loads from own flows")        \
 	X(STEER_LOADS_KNOWN, "steer_loads_known",                              \
 	  "times that the loads caused by other instances became known")       \
 	X(STEER_LOADS_UNKNOWN, "steer_loads_unknown",                          \
--- a/include/chervilmast/server_pool.h
+++ b/include/chervilmast/server_pool.h
@@ -51,6 +51,11 @@
  * @usable_count: number of usable servers
  * @slots: sum of their slots, the requests that they process concurrently
  * @ejected_count: number of usable servers that are ejected
+ * @local_count: number of usable servers in the instance's failure domain
+ * @known_count: number of these of which the loads caused by other instances are
+ *               known
+ * @known_load: sum of the loads of these servers, thousandths of a slot
+ * @known_slots: sum of their slots
  */
 struct cm_pool_sums {
 	uint64_t service_time_sum;
@@ -60,6 +65,10 @@
 	uint32_t usable_count;
 	uint64_t slots;
 	uint32_t ejected_count;
+	uint32_t local_count;
+	uint32_t known_count;
+	uint64_t known_load;
+	uint64_t known_slots;
 };
 
 /**
--- a/include/chervilmast/steer_choice.h
+++ b/include/chervilmast/steer_choice.h
@@ -5,6 +5,14 @@
  * Servers of the instance's failure domain are preferred while they answer and
  * are not clearly slower or more loaded than others. Servers of equal cost are
  * chosen in turn, so that each instance spreads its flows evenly.
+ *
+ * For a long flow, whose load lasts, the loads that all instances put on the
+ * servers decide once they are known. All instances see the same loads, which
+ * are up to a second old, so each compares only the next few servers in its own
+ * order; the least loaded server of all would get the new flows of all
+ * instances. For a flow with one request these loads are out of date before it
+ * arrives, so they count only against a server that is clearly more loaded than
+ * the others.
  */
 #ifndef CHERVILMAST_STEER_CHOICE_H
 #define CHERVILMAST_STEER_CHOICE_H
@@ -16,11 +24,13 @@
  * @service: service of the flow
  * @avoid_token: token of the server that did not answer the flow's last SYN; 0
  *               for none
+ * @is_long: the route's flows usually carry further requests
  * @now_ms: current time, ms
  */
 struct cm_choice_input {
 	const char *service;
 	uint32_t avoid_token;
+	bool is_long;
 	uint64_t now_ms;
 };
 
--- a/include/chervilmast/steer_load.h
+++ b/include/chervilmast/steer_load.h
@@ -16,7 +16,8 @@
  * @loads: set to the loads that changed most since they were last reported,
  *         then to others in turn, but no more than CM_LOADS_PER_S a second
  *
- * Return: true when each load was reported at least once, with @loads included.
+ * Return: true when each load was reported at least once, with @loads included,
+ * and the routes of all recent flows are known.
  */
 bool cm_steer_take_loads(struct cm_steer *steer, uint64_t now_ms,
 			 struct cm_load_list *loads);
--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -6,6 +6,18 @@
 #include "test_switch.h"
 
 #define PER_MILLE 1000
+/**
+ * A full server counts as clearly more loaded than the others from this
+ * multiple of their mean load.
+ */
+#define CLEARLY_MORE_FACTOR 2
+/**
+ * Weight of the load estimated from own flows for a long flow; that of the
+ * known load is 1. In trials of the model in test_steer_placement.c the busiest
+ * server had on average 1.12 (1,600 flows) and 1.33 (400 flows) times the mean
+ * load with weight 3, 1.15 and 1.35 with weight 0.
+ */
+#define ESTIMATE_WEIGHT 3
 /**
  * Added to the cost of a server in another failure domain, thousandths of the
  * cost of an idle server.
@@ -104,6 +116,19 @@
 	sums->service_time_count++;
 }
 
+/* The loads of servers in other failure domains are known in part only. */
+static void sum_local_load(struct cm_pool_sums *sums,
+			   const struct cm_steer_server *server,
+			   uint64_t now_ms)
+{
+	sums->local_count++;
+	if (!cm_server_load_is_known(server, now_ms))
+		return;
+	sums->known_count++;
+	sums->known_load += server->load.own + server->load.others;
+	sums->known_slots += server->entry.slots;
+}
+
 static void sum_group(struct cm_steer *steer, struct cm_pool_sums *sums,
 		      struct cm_server_group *group, uint64_t now_ms)
 {
@@ -115,6 +140,8 @@
 			continue;
 		group->usable_count++;
 		sum_server(sums, server, now_ms);
+		if (group->domain_hash == steer->domain_hash)
+			sum_local_load(sums, server, now_ms);
 	}
 	steer->servers_examined += group->count;
 }
@@ -221,17 +248,76 @@
  * Estimates the load per slot of a server, thousandths. Each instance that
  * sends flows to the server is assumed to cause as much load there as this one.
  */
-static uint64_t load_per_mille(const struct cm_steer_server *server,
+static uint64_t estimated_load(const struct cm_steer_server *server,
 			       const struct cm_steer *steer,
-			       const struct cm_choice_context *context)
+			       const struct cm_choice_context *context,
+			       uint32_t own)
 {
-	if (!server->load.own)
+	if (!own)
 		return 0;
-	return (uint64_t)server->load.own *
+	return (uint64_t)own *
 	       cm_server_sending_instances(server, steer, context) /
 	       server->entry.slots;
 }
 
+static uint64_t greater(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+/*
+ * Whether a server is full by the loads that all instances put on it, while the
+ * others are not. Most differences are smaller or over before a flow arrives.
+ */
+static bool is_clearly_more(uint64_t load,
+			    const struct cm_choice_context *context)
+{
+	const struct cm_pool_sums *sums = &context->pool->sums;
+
+	return load >= FULL_FLOWS_PER_SLOT * PER_MILLE && sums->known_slots &&
+	       load >= CLEARLY_MORE_FACTOR * sums->known_load /
+			       sums->known_slots;
+}
+
+/*
+ * Load per slot of a server, thousandths. Of a server in another failure domain
+ * only the loads of the instances in this one are known, so they are a lower
+ * bound. For a flow with one request, the known loads replace the estimate from
+ * own flows where they are clearly more; idle long flows are not estimated.
+ *
+ * For a long flow it is a weighted mean of the known load and of the estimate.
+ * The estimate makes each instance spread its own flows and limits how far all
+ * instances follow the same loads, which are up to a second old.
+ */
+static uint64_t load_per_mille(const struct cm_steer_server *server,
+			       const struct cm_steer *steer,
+			       const struct cm_choice_context *context)
+{
+	const struct cm_server_load *load = &server->load;
+	uint64_t known, estimate, single;
+
+	if (!cm_server_load_is_known(server, context->choice->now_ms))
+		return estimated_load(server, steer, context, load->own);
+	known = ((uint64_t)load->own + load->others) / server->entry.slots;
+	estimate = estimated_load(server, steer, context, load->own);
+	if (server->domain_hash != steer->domain_hash)
+		return greater(known, estimate);
+	if (context->choice->is_long)
+		return (known + ESTIMATE_WEIGHT * estimate) /
+		       (1 + ESTIMATE_WEIGHT);
+	single = estimated_load(server, steer, context, load->own_single);
+	return is_clearly_more(known, context) ? greater(known, single) :
+						 single;
+}
+
+bool cm_choice_context_uses_loads(const struct cm_choice_context *context)
+{
+	const struct cm_pool_sums *sums = &context->pool->sums;
+
+	return context->choice->is_long &&
+	       sums->known_count > sums->local_count / 2;
+}
+
 bool cm_server_is_full(const struct cm_steer_server *server,
 		       const struct cm_steer *steer,
 		       const struct cm_choice_context *context)
--- a/src/core/server_cost.h
+++ b/src/core/server_cost.h
@@ -108,6 +108,16 @@
 bool cm_choice_context_is_busy(const struct cm_choice_context *context,
 			       const struct cm_steer *steer);
 
+/**
+ * cm_choice_context_uses_loads() - whether the loads that all instances put on
+ * the servers decide
+ * @context: the context
+ *
+ * Return: true for a long flow when they are known of most usable servers of the
+ * instance's failure domain.
+ */
+bool cm_choice_context_uses_loads(const struct cm_choice_context *context);
+
 /**
  * cm_server_cost() - cost of placing the flow on a server
  * @server: the server
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -239,6 +239,8 @@
 		.service = cm_steer_plan_select_service(
 			&steer->plan, route, cm_flow_key_hash(&packet->key)),
 		.avoid_token = avoid_token,
+		.is_long = cm_route_load_is_long(cm_route_loads_find(
+			&steer->routes, &packet->key.service)),
 		.now_ms = now_ms,
 	};
 	struct cm_steer_server *server = NULL;
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -16,6 +16,12 @@
  * is idle. The best of these is hardly worse than the best of the whole group.
  */
 #define COMPARED_MAX 32
+/**
+ * Number of servers of a group that a choice compares by the loads that all
+ * instances put on them. With many more, all instances choose the same servers
+ * until the next loads arrive.
+ */
+#define COMPARED_BY_LOAD 4
 
 /* Packets with a token reach only the first of the servers that share it. */
 static bool owns_token(const struct cm_steer *steer,
@@ -126,13 +132,19 @@
 	best->cost = cost;
 }
 
-/* Stops at a server that costs no more than an idle one. */
+/*
+ * Stops at a server that costs no more than an idle one, and after a few
+ * servers when it compares loads; then it continues while all of them are full.
+ */
 static void search_group(struct cm_steer *steer,
 			 const struct cm_server_group *group,
 			 const struct cm_choice_context *context,
 			 struct best_choice *best)
 {
 	uint64_t least = cm_server_least_cost(steer, group->domain_hash);
+	uint32_t few = cm_choice_context_uses_loads(context) ?
+			       COMPARED_BY_LOAD :
+			       COMPARED_MAX;
 	uint32_t compared = 0;
 
 	for (uint32_t i = 0; i < group->count && compared < COMPARED_MAX; i++) {
@@ -146,6 +158,8 @@
 		if (best->server && best->cost <= least)
 			return;
 		compared++;
+		if (compared >= few && !best->all_are_full)
+			return;
 	}
 }
 
@@ -246,6 +260,11 @@
 		*capacity = CM_CAPACITY_NONE;
 	else if (cm_choice_context_is_busy(&context, steer))
 		*capacity = CM_CAPACITY_LOW;
+	if (server && choice->is_long)
+		cm_counters_add(&steer->counters,
+				cm_choice_context_uses_loads(&context) ?
+					CM_C_STEER_CHOSEN_BY_LOADS :
+					CM_C_STEER_CHOSEN_BY_ESTIMATE);
 	if (server)
 		return server;
 	*capacity = CM_CAPACITY_AVAILABLE;
--- a/src/core/steer_load.c
+++ b/src/core/steer_load.c
@@ -17,6 +17,12 @@
 #define CHANGE_DIVISOR 16
 /** Added to the priority of a changed load; above each age in reports. */
 #define CHANGED_PRIORITY (1ULL << 40)
+/**
+ * Age up to which a flow of a route without samples makes the instance's loads
+ * incomplete, ms; a route whose flows neither end nor carry a second request is
+ * not waited for any longer.
+ */
+#define UNKNOWN_ROUTE_MS 15000
 
 /**
  * struct load_candidates - servers to be reported, highest priority first
@@ -80,10 +86,15 @@
 	candidates->servers[i] = server;
 }
 
-static void recount_flows(struct cm_steer *steer,
-			  const struct cm_steer_flow_list *list)
+/*
+ * Return: number of flows of routes about which nothing is known yet. They
+ * count as one busy slot each, which can be 60 times the load of a long flow.
+ */
+static uint32_t recount_flows(struct cm_steer *steer, uint64_t now_ms,
+			      const struct cm_steer_flow_list *list)
 {
 	struct cm_steer_flow *flow;
+	uint32_t unknown = 0;
 
 	TAILQ_FOREACH (flow, list, link) {
 		struct cm_steer_server *server =
@@ -94,7 +105,10 @@
 
 		if (server)
 			cm_server_load_count(server, flow, steer->active_ms);
+		unknown += !flow->route->samples &&
+			   now_ms < flow->syn_ms + UNKNOWN_ROUTE_MS;
 	}
+	return unknown;
 }
 
 static bool is_unreported(const struct cm_server_load *load)
@@ -134,13 +148,13 @@
 {
 	struct load_candidates candidates = { .count = 0 };
 	struct cm_steer_server *server;
-	uint32_t first_reports;
+	uint32_t first_reports, unknown;
 
 	pthread_mutex_lock(&steer->lock);
 	candidates.max = cm_load_list_room(now_ms - steer->loads_reported_ms);
 	steer->loads_reported_ms = now_ms;
-	recount_flows(steer, &steer->flows.lru);
-	recount_flows(steer, &steer->flows.kept);
+	unknown = recount_flows(steer, now_ms, &steer->flows.lru);
+	unknown += recount_flows(steer, now_ms, &steer->flows.kept);
 	TAILQ_FOREACH (server, &steer->servers.all, link) {
 		uint64_t priority = report_priority(steer, &server->load);
 
@@ -150,7 +164,7 @@
 	}
 	first_reports = list_changes(steer, &candidates, loads);
 	pthread_mutex_unlock(&steer->lock);
-	return first_reports == candidates.unreported;
+	return first_reports == candidates.unreported && !unknown;
 }
 
 void cm_steer_reset_load_reports(struct cm_steer *steer)
--- a/tests/unit/test_steer_load.c
+++ b/tests/unit/test_steer_load.c
@@ -1,5 +1,6 @@
 #include "unit/suites.h"
 
+#include "chervilmast/steer_load.h"
 #include "unit/steering.h"
 
 /** Time from a request to the acknowledgment of its response, ms. */
@@ -251,3 +252,204 @@
 	run_request(1, token, 1);
 	ck_assert_ptr_null(TAILQ_FIRST(&steering.flows.kept));
 }
+
+/* Sets the load that other instances put on a server. */
+static void set_others(uint64_t id, uint32_t load)
+{
+	const struct cm_load_list sums = {
+		.tokens = { cm_steer_token(id, 0) },
+		.loads = { load },
+		.count = 1,
+	};
+
+	cm_steer_apply_loads(&steering, steering_ms, &sums);
+}
+
+static void set_all_others(uint64_t servers, uint32_t load)
+{
+	for (uint64_t id = 1; id <= servers; id++)
+		set_others(id, load);
+}
+
+#define ORDER_SERVERS 8
+#define ORDER_FLOWS 32
+
+/* Runs per-request flows; sets @ids to the servers that they were placed on. */
+static void run_single_flows(uint64_t *ids)
+{
+	for (uint16_t i = 0; i < ORDER_FLOWS; i++)
+		ids[i] = steering_run_flow(2000 + i, WORK_MS);
+}
+
+/* The loads are up to a second old, which is many times the duration of a flow
+ * with one request. Usual differences must not change the order in which an
+ * instance chooses servers for such flows. */
+TEST(usual_loads_do_not_change_the_order_of_single_flows)
+{
+	uint64_t before[ORDER_FLOWS], after[ORDER_FLOWS];
+
+	steering_make_ready(ORDER_SERVERS);
+	run_single_flows(before);
+	steering_teardown();
+	steering_setup();
+	steering_make_ready(ORDER_SERVERS);
+	for (uint64_t id = 1; id <= ORDER_SERVERS; id++)
+		set_others(id, (uint32_t)(id * 450));
+	run_single_flows(after);
+	for (int i = 0; i < ORDER_FLOWS; i++)
+		ck_assert_uint_eq(before[i], after[i]);
+}
+
+/* A server that other instances have filled, while the rest is idle, must not
+ * get more flows. */
+TEST(clearly_loaded_server_gets_no_single_flows)
+{
+	uint64_t ids[ORDER_FLOWS];
+
+	steering_make_ready(ORDER_SERVERS);
+	set_all_others(ORDER_SERVERS, 500);
+	set_others(3, 9000);
+	run_single_flows(ids);
+	for (int i = 0; i < ORDER_FLOWS; i++)
+		ck_assert_uint_ne(ids[i], 3);
+}
+
+/* When all servers are full, none of them is worse than the others. */
+TEST(equally_full_servers_get_single_flows_in_turn)
+{
+	uint64_t ids[ORDER_FLOWS];
+	uint32_t counts[ORDER_SERVERS + 1] = { 0 };
+
+	steering_make_ready(ORDER_SERVERS);
+	set_all_others(ORDER_SERVERS, 9000);
+	run_single_flows(ids);
+	for (int i = 0; i < ORDER_FLOWS; i++) {
+		ck_assert_uint_le(ids[i], ORDER_SERVERS);
+		counts[ids[i]]++;
+	}
+	for (int id = 1; id <= ORDER_SERVERS; id++)
+		ck_assert_uint_eq(counts[id], ORDER_FLOWS / ORDER_SERVERS);
+}
+
+static uint64_t place_long_flow(uint16_t port)
+{
+	return server_of(open_flow(port))->entry.id;
+}
+
+/* Long flows avoid a server that other instances have loaded, as long as this
+ * is known; then the instance's own flows decide again. */
+TEST(long_flows_avoid_a_loaded_server_while_loads_are_known)
+{
+	uint32_t at_loaded = 0;
+
+	steering_make_ready(4);
+	teach_long_route();
+	set_all_others(4, 100);
+	set_others(2, 1500);
+	for (uint16_t port = 1; port <= 12; port++)
+		at_loaded += place_long_flow(port) == 2;
+	ck_assert_uint_le(at_loaded, 1);
+	ck_assert_uint_gt(steering_counter(CM_C_STEER_CHOSEN_BY_LOADS), 0);
+	steering_advance(CM_SERVER_LOAD_STALE_MS);
+	for (uint16_t port = 21; port <= 32; port++)
+		at_loaded += place_long_flow(port) == 2;
+	ck_assert_uint_ge(at_loaded, 3);
+	ck_assert_uint_gt(steering_counter(CM_C_STEER_CHOSEN_BY_ESTIMATE), 0);
+	ck_assert_uint_eq(steering_counter(CM_C_STEER_LOADS_UNKNOWN), 1);
+}
+
+/* A server in its cold start is empty, but must not get more long flows than
+ * its rate allows. */
+TEST(cold_start_limits_long_flows)
+{
+	struct cm_server_entry entry = steering_make_entry(5, "a");
+	uint32_t cold = 0;
+
+	steering_make_ready(4);
+	teach_long_route();
+	steering_set_plan(2, 20);
+	entry.cold_left_ms = 10000;
+	ASSERT_OK(cm_steer_put_server(&steering, steering_ms, &entry));
+	for (uint16_t port = 1; port <= 50; port++) {
+		set_all_others(4, 1900);
+		set_others(5, 0);
+		cold += place_long_flow(port) == 5;
+		steering_advance(20);
+	}
+	ck_assert_uint_gt(cold, 2);
+	ck_assert_uint_le(cold, 20 + 2);
+}
+
+/* A silent server has no load; it must not attract flows. */
+TEST(silent_server_gets_no_long_flows)
+{
+	struct cm_steer_verdict verdict;
+
+	steering_make_ready(4);
+	teach_long_route();
+	set_all_others(4, 800);
+	verdict = steering_send_syn(900, 0);
+	steering_advance(100);
+	set_others(verdict.server_id, 0);
+	for (uint16_t port = 1; port <= 20; port++)
+		ck_assert_uint_ne(place_long_flow(port), verdict.server_id);
+}
+
+/* The load of a server in another failure domain is only known as far as
+ * instances here cause it, and must not make the server look idle. */
+TEST(other_domain_is_used_by_cost)
+{
+	uint32_t remote = 0;
+
+	steering_make_ready(2);
+	teach_long_route();
+	set_all_others(2, 1000);
+	set_others(101, 0);
+	set_others(102, 0);
+	for (uint16_t port = 1; port <= 8; port++)
+		remote += place_long_flow(port) > 100;
+	ck_assert_uint_eq(remote, 0);
+	set_all_others(2, 20000);
+	for (uint16_t port = 11; port <= 18; port++)
+		remote += place_long_flow(port) > 100;
+	ck_assert_uint_ge(remote, 6);
+}
+
+/* Loads that changed most are reported first; each message is bounded. */
+TEST(changed_loads_are_reported_first)
+{
+	struct cm_load_list loads;
+
+	steering_make_ready(40);
+	for (uint64_t id = 1; id <= 40; id++) {
+		cm_steer_servers_find_by_id(&steering.servers, id)->load.own =
+			(uint32_t)id;
+		cm_steer_servers_find_by_id(&steering.servers, 100 + id)
+			->load.own = 1000 + (uint32_t)id;
+	}
+	ck_assert(!cm_steer_take_loads(&steering, steering_ms, &loads));
+	ck_assert_uint_eq(loads.count, CM_LOAD_LIST_MAX);
+	ck_assert_uint_eq(loads.tokens[0], cm_steer_token(140, 0));
+	ck_assert(cm_steer_take_loads(&steering, steering_ms + 1000, &loads));
+	ck_assert_uint_eq(loads.tokens[0], cm_steer_token(16, 0));
+	cm_steer_servers_find_by_id(&steering.servers, 7)->load.own = 500;
+	cm_steer_take_loads(&steering, steering_ms + 1100, &loads);
+	ck_assert_uint_eq(loads.count, 8);
+	ck_assert_uint_eq(loads.tokens[0], cm_steer_token(7, 0));
+	ck_assert_uint_eq(loads.loads[0], 500);
+}
+
+/* A flow whose route is not known yet counts as one busy slot, many times the
+ * load of a long flow. Loads with such flows must not be taken for complete. */
+TEST(loads_are_incomplete_until_routes_are_known)
+{
+	struct cm_load_list loads;
+
+	steering_make_ready(1);
+	open_flow(1);
+	ck_assert(!cm_steer_take_loads(&steering, steering_ms, &loads));
+	run_request(1, cm_steer_token(1, 0), 0);
+	steering_advance(500);
+	run_request(1, cm_steer_token(1, 0), 1);
+	ck_assert(cm_steer_take_loads(&steering, steering_ms, &loads));
+}
