--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -99,8 +99,6 @@
  * @load_report_seq: sequence number of the last report of loads
  * @loads_known_ms: latest time at which loads of other instances were current,
  *                  ms; 0 for never
- * @loads_are_known: whether the loads of other instances were known at the last
- *                   tick
  * @domains_out: failure domains that are out of service
  * @registry_confirmed_ms: latest time at which the registry data was known to
  *                         be current, ms; 0 for never
@@ -119,6 +117,8 @@
  * @is_leaving: the instance is in graceful shutdown
  * @has_reached_server: a server has answered a SYN or a probe since the start
  * @was_ready: whether the instance was ready at the last tick
+ * @loads_are_known: whether the loads of other instances were known at the last
+ *                   tick
  * @unanswered_syns: consecutive SYNs, to any server, that were not answered
  * @domains_out_count: number of @domains_out
  * @failures: failed flows since the last call of cm_steer_take_failures()
@@ -139,7 +139,6 @@
 	uint64_t loads_reported_ms;
 	uint64_t load_report_seq;
 	uint64_t loads_known_ms;
-	bool loads_are_known;
 	struct cm_domain_out domains_out[CM_STEER_DOMAINS_OUT_MAX];
 	uint64_t registry_confirmed_ms;
 	uint64_t registry_restored_ms;
@@ -153,6 +152,7 @@
 	bool is_leaving;
 	bool has_reached_server;
 	bool was_ready;
+	bool loads_are_known;
 	uint32_t unanswered_syns;
 	uint32_t domains_out_count;
 	struct cm_steer_flow_results failures;
--- a/include/chervilmast/steer_packet.h
+++ b/include/chervilmast/steer_packet.h
@@ -73,6 +73,10 @@
  * @service: service of a new flow; empty where it is not known
  * @plan_version: version of the plan that the decision used
  * @registry_age_ms: age of the registry data, ms
+ * @own_load: load of this instance's flows at the server of a new flow,
+ *            thousandths of a slot
+ * @others_load: known load of the other instances' flows there, thousandths
+ * @loads_age_ms: age of @others_load, ms; UINT64_MAX when it is not known
  */
 struct cm_steer_verdict {
 	enum cm_steer_action action;
@@ -83,6 +87,9 @@
 	char service[CM_NAME_SIZE];
 	uint64_t plan_version;
 	uint64_t registry_age_ms;
+	uint32_t own_load;
+	uint32_t others_load;
+	uint64_t loads_age_ms;
 };
 
 #endif
--- a/include/chervilmast/steer_peer.h
+++ b/include/chervilmast/steer_peer.h
@@ -2,9 +2,10 @@
  * DOC: Instances that steer by token
  *
  * The instances do not exchange flow state. Those of a failure domain exchange
- * the loads that their flows put on servers (server_load.h). Where these are not
- * known, an instance estimates the load of a server: it multiplies the load of
- * its own flows there by the number of instances that send flows to the server.
+ * the loads that their flows put on servers (server_load.h). Where these are
+ * not known, an instance estimates the load of a server: it multiplies the load
+ * of its own flows there by the number of instances that send flows to the
+ * server.
  */
 #ifndef CHERVILMAST_STEER_PEER_H
 #define CHERVILMAST_STEER_PEER_H
--- a/src/core/load_table.c
+++ b/src/core/load_table.c
@@ -44,9 +44,14 @@
 static void remove_instance(struct cm_load_table *table,
 			    struct cm_load_instance *instance)
 {
+	struct cm_load_instance *last =
+		&table->instances[--table->instance_count];
+
 	subtract_all(table, instance);
 	free(instance->loads);
-	*instance = table->instances[--table->instance_count];
+	*instance = *last;
+	last->loads = NULL;
+	last->capacity = 0;
 }
 
 void cm_load_table_finish(struct cm_load_table *table)
--- a/src/core/server_cost.h
+++ b/src/core/server_cost.h
@@ -113,8 +113,8 @@
  * the servers decide
  * @context: the context
  *
- * Return: true for a long flow when they are known of most usable servers of the
- * instance's failure domain.
+ * Return: true for a long flow when they are known of most usable servers of
+ * the instance's failure domain.
  */
 bool cm_choice_context_uses_loads(const struct cm_choice_context *context);
 
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -230,6 +230,20 @@
 	return CM_STEER_FORWARD;
 }
 
+/* Records the loads that the choice of a server used. */
+static void record_loads(uint64_t now_ms, const struct cm_steer_server *server,
+			 struct cm_steer_verdict *verdict)
+{
+	verdict->own_load = server->load.own;
+	verdict->loads_age_ms = UINT64_MAX;
+	if (!cm_server_load_is_known(server, now_ms))
+		return;
+	verdict->others_load = server->load.others;
+	verdict->loads_age_ms = now_ms > server->load.others_ms ?
+					now_ms - server->load.others_ms :
+					0;
+}
+
 static void place_flow(struct cm_steer *steer, uint64_t now_ms,
 		       const struct cm_steer_packet *packet,
 		       const struct cm_plan_route *route, uint32_t avoid_token,
@@ -264,6 +278,7 @@
 		refuse(steer, now_ms, CM_C_STEER_NO_SERVER, verdict);
 		return;
 	}
+	record_loads(now_ms, server, verdict);
 	cm_steer_record_choice(steer, server, now_ms);
 	track_flow(steer, now_ms, packet, server);
 	forward_to(steer, now_ms, server,
--- a/src/daemon/feed_loads.c
+++ b/src/daemon/feed_loads.c
@@ -91,7 +91,8 @@
 
 	items->has_optional = request->reads_optional;
 	/* Instances of other failure domains request a first copy only. */
-	if (!request->has_optional || strcmp(from->domain, feed->self.domain))
+	if (!request->has_optional ||
+	    strcmp(from->domain, feed->self.domain) != 0)
 		return;
 	expire_loads(feed, now_ms);
 	cm_load_table_report(&feed->loads, now_ms, &report);
--- a/src/daemon/steer_log.c
+++ b/src/daemon/steer_log.c
@@ -32,7 +32,7 @@
 						     CM_EVENT_FLOW_REFUSED,
 	       "caller=%s route=%s reason=%s service=%s server=%llx at=%s "
 	       "token=%08x repeats=%u waited_ms=%u plan=%llu "
-	       "registry_age_ms=%llu",
+	       "registry_age_ms=%llu load=%u others=%u loads_age_ms=%lld",
 	       cm_endpoint_write(&packet->key.caller, caller),
 	       cm_endpoint_write(&packet->key.service, route),
 	       cm_counter_name(verdict->reason), verdict->service,
@@ -40,7 +40,8 @@
 	       cm_endpoint_write(&verdict->server, server),
 	       verdict->token ? verdict->token : packet->token, packet->repeats,
 	       packet->waited_ms, (unsigned long long)verdict->plan_version,
-	       (unsigned long long)verdict->registry_age_ms);
+	       (unsigned long long)verdict->registry_age_ms, verdict->own_load,
+	       verdict->others_load, (long long)verdict->loads_age_ms);
 }
 
 static void log_flow_change(const struct cm_steer_change *change)
