Let only significant load change the choice for flows of one request

Cause: a full server with twice the mean load was avoided for flows of one request. With four flows at each server on average, about one in twenty has eight of them at any time, for a tenth of a second, and all instances avoided it until the next report.

Ruled out: a higher multiple of the mean, which would never hold when all servers are busy, and hold by chance when they are nearly idle.

Change: the load has to exceed the mean by four standard deviations of a random number of flows.

--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -7,10 +7,12 @@
 
 #define PER_MILLE 1000
 /**
- * A full server counts as clearly more loaded than the others from this
- * multiple of their mean load.
+ * A full server counts as clearly more loaded than the others when it has more
+ * flows than their mean by this many standard deviations of a random number of
+ * flows. At twice the mean, one server in twenty counted when each had four
+ * flows on average, and was avoided by all instances until the next report.
  */
-#define CLEARLY_MORE_FACTOR 2
+#define CLEARLY_MORE_DEVIATIONS 4
 /**
  * Weight of the load estimated from own flows for a long flow; that of the
  * known load is 1. In trials of the model in test_steer_placement.c the busiest
@@ -266,17 +268,24 @@
 }
 
 /*
- * Whether a server is full by the loads that all instances put on it, while the
- * others are not. Most differences are smaller or over before a flow arrives.
+ * Whether a server is full by the loads that all instances put on it, and this
+ * is no random difference from the others. Most differences are over before a
+ * flow arrives. The standard deviation of a number of flows is the square root
+ * of its mean.
  */
-static bool is_clearly_more(uint64_t load,
+static bool is_clearly_more(const struct cm_steer_server *server, uint64_t load,
 			    const struct cm_choice_context *context)
 {
 	const struct cm_pool_sums *sums = &context->pool->sums;
-
-	return load >= FULL_FLOWS_PER_SLOT * PER_MILLE && sums->known_slots &&
-	       load >= CLEARLY_MORE_FACTOR * sums->known_load /
-			       sums->known_slots;
+	uint64_t mean, excess;
+
+	if (load < FULL_FLOWS_PER_SLOT * PER_MILLE || !sums->known_slots)
+		return false;
+	mean = sums->known_load / sums->known_slots;
+	excess = load > mean ? load - mean : 0;
+	return excess * excess * server->entry.slots >=
+	       (uint64_t)CLEARLY_MORE_DEVIATIONS * CLEARLY_MORE_DEVIATIONS *
+		       PER_MILLE * mean;
 }
 
 /*
@@ -306,8 +315,9 @@
 		return (known + ESTIMATE_WEIGHT * estimate) /
 		       (1 + ESTIMATE_WEIGHT);
 	single = estimated_load(server, steer, context, load->own_single);
-	return is_clearly_more(known, context) ? greater(known, single) :
-						 single;
+	return is_clearly_more(server, known, context) ?
+		       greater(known, single) :
+		       single;
 }
 
 bool cm_choice_context_uses_loads(const struct cm_choice_context *context)
--- a/tests/unit/test_steer_load.c
+++ b/tests/unit/test_steer_load.c
@@ -300,6 +300,23 @@
 		ck_assert_uint_eq(before[i], after[i]);
 }
 
+/* At four flows at each server on average, eight at one of them are usual, and
+ * over before the next report. All instances would avoid the server until then.
+ */
+TEST(random_burst_does_not_change_the_order_of_single_flows)
+{
+	uint64_t ids[ORDER_FLOWS];
+	uint32_t at_busy = 0;
+
+	steering_make_ready(ORDER_SERVERS);
+	set_all_others(ORDER_SERVERS, 3500);
+	set_others(3, 8000);
+	run_single_flows(ids);
+	for (int i = 0; i < ORDER_FLOWS; i++)
+		at_busy += ids[i] == 3;
+	ck_assert_uint_eq(at_busy, ORDER_FLOWS / ORDER_SERVERS);
+}
+
 /* A server that other instances have filled, while the rest is idle, must not
  * get more flows. */
 TEST(clearly_loaded_server_gets_no_single_flows)
