Check inline whether the load of a server is known

Ruled out: caching the answer with the sums of a service, which are up to 200 ms old.

Change: the check is an inline function; the switch prevents that loads are applied instead.

--- a/include/chervilmast/server_load.h
+++ b/include/chervilmast/server_load.h
@@ -174,13 +174,19 @@
 
 /**
  * cm_server_load_is_known() - whether the load of the other instances is known
- * @server: the server
+ * @load: load of the server
  * @now_ms: current time, ms
  *
+ * Inline, as each choice calls it for dozens of servers.
+ *
  * Return: false when it was never received or is older than
  * CM_SERVER_LOAD_STALE_MS.
  */
-bool cm_server_load_is_known(const struct cm_steer_server *server,
-			     uint64_t now_ms);
+static inline bool cm_server_load_is_known(const struct cm_server_load *load,
+					   uint64_t now_ms)
+{
+	return load->others_ms &&
+	       now_ms < load->others_ms + CM_SERVER_LOAD_STALE_MS;
+}
 
 #endif
--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -124,7 +124,7 @@
 			   uint64_t now_ms)
 {
 	sums->local_count++;
-	if (!cm_server_load_is_known(server, now_ms))
+	if (!cm_server_load_is_known(&server->load, now_ms))
 		return;
 	sums->known_count++;
 	sums->known_load += server->load.own + server->load.others;
@@ -305,7 +305,7 @@
 	const struct cm_server_load *load = &server->load;
 	uint64_t known, estimate, single;
 
-	if (!cm_server_load_is_known(server, context->choice->now_ms))
+	if (!cm_server_load_is_known(load, context->choice->now_ms))
 		return estimated_load(server, steer, context, load->own);
 	known = ((uint64_t)load->own + load->others) / server->entry.slots;
 	estimate = estimated_load(server, steer, context, load->own);
--- a/src/core/server_load.c
+++ b/src/core/server_load.c
@@ -193,11 +193,3 @@
 {
 	set_load(server, flow, 0, 0);
 }
-
-bool cm_server_load_is_known(const struct cm_steer_server *server,
-			     uint64_t now_ms)
-{
-	return !cm_switched_off(CM_SWITCH_SERVER_LOAD) &&
-	       server->load.others_ms &&
-	       now_ms < server->load.others_ms + CM_SERVER_LOAD_STALE_MS;
-}
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -236,7 +236,7 @@
 {
 	verdict->own_load = server->load.own;
 	verdict->loads_age_ms = UINT64_MAX;
-	if (!cm_server_load_is_known(server, now_ms))
+	if (!cm_server_load_is_known(&server->load, now_ms))
 		return;
 	verdict->others_load = server->load.others;
 	verdict->loads_age_ms = now_ms > server->load.others_ms ?
--- a/src/core/steer_load.c
+++ b/src/core/steer_load.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "steer_internal.h"
+#include "test_switch.h"
 
 /**
  * Reports of load 0 after which a server is no longer reported; more than one,
@@ -183,6 +184,8 @@
 void cm_steer_apply_loads(struct cm_steer *steer, uint64_t current_ms,
 			  const struct cm_load_list *sums)
 {
+	if (cm_switched_off(CM_SWITCH_SERVER_LOAD))
+		return;
 	pthread_mutex_lock(&steer->lock);
 	for (uint32_t i = 0; i < sums->count; i++) {
 		struct cm_steer_server *server = cm_steer_servers_find_by_token(
--- a/tests/unit/test_feed_loads.c
+++ b/tests/unit/test_feed_loads.c
@@ -107,7 +107,8 @@
 	ck_assert_uint_eq(server_at(&follower, 1)->load.others, 120);
 	ck_assert_uint_eq(server_at(&other, 1)->load.others, 400);
 	ck_assert_uint_eq(server_at(&source, 1)->load.others, 320);
-	ck_assert(cm_server_load_is_known(server_at(&source, 1), now_ms));
+	ck_assert(
+		cm_server_load_is_known(&server_at(&source, 1)->load, now_ms));
 	server_at(&follower, 1)->load.own = 0;
 	exchange_all(5);
 	ck_assert_uint_eq(server_at(&other, 1)->load.others, 100);
@@ -120,8 +121,8 @@
 
 	server_at(&other, 1)->load.own = 20;
 	exchange_all(5);
-	ck_assert(cm_server_load_is_known(server, now_ms));
-	ck_assert(!cm_server_load_is_known(server, now_ms + 3000));
+	ck_assert(cm_server_load_is_known(&server->load, now_ms));
+	ck_assert(!cm_server_load_is_known(&server->load, now_ms + 3000));
 	cm_steer_tick(&follower.steer, now_ms);
 	ck_assert_uint_eq(cm_counters_get(&follower.steer.counters,
 					  CM_C_STEER_LOADS_KNOWN),
@@ -146,10 +147,10 @@
 	follower.feed.request_address = other_control;
 	now_ms += 3000;
 	exchange(&other, OTHER_INCARNATION, &other_control, &follower);
-	ck_assert(!cm_server_load_is_known(server, now_ms));
+	ck_assert(!cm_server_load_is_known(&server->load, now_ms));
 	for (int i = 0; i < 5; i++)
 		exchange(&other, OTHER_INCARNATION, &other_control, &follower);
-	ck_assert(cm_server_load_is_known(server, now_ms));
+	ck_assert(cm_server_load_is_known(&server->load, now_ms));
 	ck_assert_uint_eq(server->load.others, 20);
 	ck_assert_uint_eq(server_at(&other, 1)->load.others, 300);
 }
@@ -166,7 +167,8 @@
 	}
 	server_at(&other, 1)->load.own = 20;
 	exchange_all(5);
-	ck_assert(!cm_server_load_is_known(server_at(&follower, 1), now_ms));
+	ck_assert(!cm_server_load_is_known(&server_at(&follower, 1)->load,
+					   now_ms));
 }
 
 /* An instance is removed from the members; its loads must not count for another
