Merge the load known across instances; require two reports of stalled data

Cause: with loads known, a test found 6 flows of live servers reset in place of at most 1: servers at their maximum number of connections are silent to all SYNs, so that one flow whose data a lossy link lost twice made the source list the server as down, and all its flows were reset.

Ruled out: a higher bound in the test, as no such reset is right. Keeping the old rule for removals: one lost packet was enough there.

Change: a server is down when two instances report retransmitted data to it; a removal without draining needs the second retransmission, silence, or a report from the time in which the entry expired, which now does not lapse. Tests of these rules are stricter than before. A choice that uses known loads shares its decision with explain; its test sets the load of the server.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -236,6 +236,20 @@
 	  "packets to gone servers forwarded, as this instance was unsure")    \
 	X(STEER_FLOW_FORGOTTEN, "steer_flow_forgotten",                        \
 	  "flows evicted because the flow table was full")                     \
+	X(STEER_FLOW_ADOPTED, "steer_flow_adopted",                            \
+	  "open flows of other instances added to the flow table")             \
+	X(STEER_FLOW_KEPT, "steer_flow_kept",                                  \
+	  "idle flows kept because further requests are expected")             \
+	X(STEER_CHOSEN_BY_LOADS, "steer_chosen_by_loads",                      \
+	  "choices for long flows that used the loads of all instances")       \
+	X(STEER_CHOSEN_BY_ESTIMATE, "steer_chosen_by_estimate",                \
+	  "choices for long flows that estimated loads from own flows")        \
+	X(STEER_LOADS_KNOWN, "steer_loads_known",                              \
+	  "times that the loads caused by other instances became known")       \
+	X(STEER_LOADS_UNKNOWN, "steer_loads_unknown",                          \
+	  "times that the loads caused by other instances became too old")     \
+	X(STEER_LOADS_EXPIRED, "steer_loads_expired",                          \
+	  "instances whose loads this source removed: they stopped reporting") \
 	X(STEER_FLOW_FAILED, "steer_flow_failed",                              \
 	  "flows that got an error or no answer")                              \
 	X(STEER_EJECTED, "steer_ejected",                                      \
--- a/include/chervilmast/down_list.h
+++ b/include/chervilmast/down_list.h
@@ -2,10 +2,11 @@
  * DOC: Backend servers that several instances found to be down
  *
  * The source of a failure domain counts the instances that report a backend
- * server as silent. The server counts as down when at least two of them do and
- * one of them, besides, saw a caller retransmit data to the server. The second
- * condition is needed because a server at its maximum number of connections
- * answers neither SYNs nor probes but still serves its open flows.
+ * server as silent and, besides, saw a caller retransmit data to it. The server
+ * counts as down when two instances do. Silence alone proves nothing: a server
+ * at its maximum number of connections answers neither SYNs nor probes but
+ * serves its open flows, and on a lossy link one instance may see the data of
+ * one flow lost several times in a row.
  */
 #ifndef CHERVILMAST_DOWN_LIST_H
 #define CHERVILMAST_DOWN_LIST_H
@@ -23,13 +24,10 @@
  * struct cm_down_report - an instance's latest report of a server
  * @reporter: hash of the instance's name
  * @reported_ms: when it was received, ms; 0 for none
- * @stalled_ms: when a report that data was retransmitted was last received, ms;
- *              0 for never
  */
 struct cm_down_report {
 	uint64_t reporter;
 	uint64_t reported_ms;
-	uint64_t stalled_ms;
 };
 
 /**
@@ -57,7 +55,8 @@
  * @now_ms: current time, ms
  * @reporter: hash of the instance's name
  * @silent: servers that it reports as silent
- * @stalled: those of them to which it saw a caller retransmit data
+ * @stalled: those of them to which it saw a caller retransmit data; only these
+ *           are recorded
  *
  * Servers for which there is no room are left out.
  */
--- a/include/chervilmast/server_health.h
+++ b/include/chervilmast/server_health.h
@@ -52,6 +52,8 @@
  * struct cm_server_health - an instance's observations of a backend server
  * @unanswered_syns: number of consecutive SYNs without an answer
  * @unanswered_ms: when the last unanswered SYN was sent, ms
+ * @reported_ms: when another instance last reported that the server is silent,
+ *               ms; 0 for never
  * @reported_until_ms: end of validity of another instance's report that the
  *                     server is silent, ms; 0 for none
  * @is_reached: a probe has reached the server since the last unanswered SYN;
@@ -72,6 +74,7 @@
 struct cm_server_health {
 	uint32_t unanswered_syns;
 	uint64_t unanswered_ms;
+	uint64_t reported_ms;
 	uint64_t reported_until_ms;
 	bool is_reached;
 	uint64_t reached_ms;
--- a/include/chervilmast/server_pool.h
+++ b/include/chervilmast/server_pool.h
@@ -51,6 +51,11 @@
  * @usable_count: number of usable servers
  * @slots: sum of their slots, the requests that they process concurrently
  * @ejected_count: number of usable servers that are ejected
+ * @local_count: number of usable servers in the instance's failure domain
+ * @known_count: number of these of which the loads caused by other instances
+ * are known
+ * @known_load: sum of the loads of these servers, thousandths of a slot
+ * @known_slots: sum of their slots
  */
 struct cm_pool_sums {
 	uint64_t service_time_sum;
@@ -60,6 +65,10 @@
 	uint32_t usable_count;
 	uint64_t slots;
 	uint32_t ejected_count;
+	uint32_t local_count;
+	uint32_t known_count;
+	uint64_t known_load;
+	uint64_t known_slots;
 };
 
 /**
@@ -67,7 +76,8 @@
  * @service_hash: hash of the name of the service
  * @groups: the servers by failure domain
  * @count: number of servers
- * @open_flows: sum of @open_flows of the servers in @groups
+ * @own_load: sum of the loads of this instance's flows at the servers in
+ *            @groups, thousandths of a slot
  * @handshake_ms_eighths: smoothed time from SYN to the caller's next packet,
  *                        eighths of ms; 0 when unknown
  * @response_time: estimated time from request to response
@@ -79,7 +89,7 @@
 	uint64_t service_hash;
 	struct cm_server_group_list groups;
 	uint32_t count;
-	uint32_t open_flows;
+	uint32_t own_load;
 	uint32_t handshake_ms_eighths;
 	struct cm_response_time response_time;
 	struct cm_pool_sums sums;
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -99,6 +99,11 @@
  * @peers: all instances in the registry, this one included
  * @flows: flows whose SYN this instance forwarded
  * @admissions: services whose requests are admitted by priority
+ * @routes: flows of each route, as this instance observes them
+ * @loads_reported_ms: when loads were last reported to the source, ms
+ * @load_report_seq: sequence number of the last report of loads
+ * @loads_known_ms: latest time at which loads of other instances were current,
+ *                  ms; 0 for never
  * @domains_out: failure domains that are out of service
  * @registry_confirmed_ms: latest time at which the registry data was known to
  *                         be current, ms; 0 for never
@@ -118,6 +123,8 @@
  * @is_leaving: the instance is in graceful shutdown
  * @has_reached_server: a server has answered a SYN or a probe since the start
  * @was_ready: whether the instance was ready at the last tick
+ * @loads_are_known: whether the loads of other instances were known at the last
+ *                   tick
  * @unanswered_syns: consecutive SYNs, to any server, that were not answered
  * @domains_out_count: number of @domains_out
  * @gone: state for decisions on servers that are gone
@@ -136,6 +143,10 @@
 	struct cm_steer_peers peers;
 	struct cm_steer_flows flows;
 	struct cm_steer_admissions admissions;
+	struct cm_route_loads routes;
+	uint64_t loads_reported_ms;
+	uint64_t load_report_seq;
+	uint64_t loads_known_ms;
 	struct cm_domain_out domains_out[CM_STEER_DOMAINS_OUT_MAX];
 	uint64_t registry_confirmed_ms;
 	uint64_t registry_restored_ms;
@@ -149,6 +160,7 @@
 	bool is_leaving;
 	bool has_reached_server;
 	bool was_ready;
+	bool loads_are_known;
 	uint32_t unanswered_syns;
 	uint32_t domains_out_count;
 	struct cm_steer_gone gone;
--- a/include/chervilmast/steer_packet.h
+++ b/include/chervilmast/steer_packet.h
@@ -78,6 +78,10 @@
  * @registry_age_ms: age of the registry data, ms
  * @evidence_age_ms: time since when the server of an open flow that is reset
  *                   counts as gone, ms; else 0
+ * @own_load: load of this instance's flows at the server of a new flow,
+ *            thousandths of a slot
+ * @others_load: known load of the other instances' flows there, thousandths
+ * @loads_age_ms: age of @others_load, ms; UINT64_MAX when it is not known
  */
 struct cm_steer_verdict {
 	enum cm_steer_action action;
@@ -89,6 +93,9 @@
 	uint64_t plan_version;
 	uint64_t registry_age_ms;
 	uint64_t evidence_age_ms;
+	uint32_t own_load;
+	uint32_t others_load;
+	uint64_t loads_age_ms;
 };
 
 #endif
--- a/src/core/data_watch.c
+++ b/src/core/data_watch.c
@@ -53,10 +53,6 @@
 static void record_copy(struct cm_data_watch *watch, uint64_t now_ms,
 			uint64_t sent_ms)
 {
-	if (now_ms >= sent_ms + DUPLICATE_MAX_MS) {
-		watch->repeated_from_ms = sent_ms;
-		watch->repeated_ms = now_ms;
-	}
 	if (now_ms >= sent_ms + CM_DATA_STALL_MS) {
 		watch->stalled_from_ms = sent_ms;
 		watch->stalled_ms = now_ms;
@@ -100,13 +96,6 @@
 	return false;
 }
 
-bool cm_data_watch_is_repeated(const struct cm_data_watch *watch,
-			       uint64_t now_ms)
-{
-	return watch->repeated_ms &&
-	       now_ms < watch->repeated_ms + CM_DATA_STALL_TTL_MS;
-}
-
 bool cm_data_watch_is_stalled(const struct cm_data_watch *watch,
 			      uint64_t now_ms)
 {
--- a/src/core/down_list.c
+++ b/src/core/down_list.c
@@ -79,16 +79,12 @@
 }
 
 static void add_report(struct cm_down_server *server, uint64_t now_ms,
-		       uint64_t reporter, bool is_stalled)
+		       uint64_t reporter)
 {
 	struct cm_down_report *report = select_report(server, reporter);
 
-	if (!report->reported_ms || report->reporter != reporter)
-		report->stalled_ms = 0;
 	report->reporter = reporter;
 	report->reported_ms = now_ms;
-	if (is_stalled)
-		report->stalled_ms = now_ms;
 }
 
 void cm_down_list_report(struct cm_down_list *list, uint64_t now_ms,
@@ -97,33 +93,26 @@
 			 const struct cm_message_tokens *stalled)
 {
 	withdraw(list, reporter, silent);
-	for (uint32_t i = 0; i < silent->count; i++) {
-		uint32_t token = silent->tokens[i];
-		struct cm_down_server *server =
-			token ? find_or_unused(list, now_ms, token) : NULL;
+	for (uint32_t i = 0; i < stalled->count; i++) {
+		uint32_t token = stalled->tokens[i];
+		struct cm_down_server *server = NULL;
 
+		if (token && contains(silent, token))
+			server = find_or_unused(list, now_ms, token);
 		if (server)
-			add_report(server, now_ms, reporter,
-				   contains(stalled, token));
+			add_report(server, now_ms, reporter);
 	}
 }
 
 static bool is_down(const struct cm_down_server *server, uint64_t now_ms)
 {
-	bool is_stalled = false;
+	uint32_t recent = 0;
 
-	if (!server->token)
-		return false;
-	for (int i = 0; i < CM_DOWN_REPORTERS; i++) {
-		const struct cm_down_report *report = &server->reports[i];
-
-		if (!is_recent(report->reported_ms, now_ms) &&
-		    !cm_switched_off(CM_SWITCH_DOWN_REPORTERS))
-			return false;
-		if (is_recent(report->stalled_ms, now_ms))
-			is_stalled = true;
-	}
-	return is_stalled;
+	for (int i = 0; i < CM_DOWN_REPORTERS; i++)
+		recent += is_recent(server->reports[i].reported_ms, now_ms);
+	if (cm_switched_off(CM_SWITCH_DOWN_REPORTERS))
+		return server->token && recent;
+	return server->token && recent == CM_DOWN_REPORTERS;
 }
 
 void cm_down_list_read(const struct cm_down_list *list, uint64_t now_ms,
--- a/src/core/server_health.c
+++ b/src/core/server_health.c
@@ -53,6 +53,7 @@
 	    (health->answered_ms &&
 	     now_ms < health->answered_ms + ANSWER_PRECEDENCE_MS))
 		return;
+	health->reported_ms = now_ms;
 	health->reported_until_ms = now_ms + CM_HEALTH_REPORT_TTL_MS;
 }
 
--- a/src/core/steer_gone.c
+++ b/src/core/steer_gone.c
@@ -12,6 +12,8 @@
  * the time is compared with the time at which the data was current.
  */
 #define REMOVALS_SPREAD_MS 1200
+/** Time after a server's last renewal at which its entry expires, ms. */
+#define ENTRY_EXPIRY_MS 3600
 /**
  * Minimum duration of a pause after which data must have been current at its
  * end, ms: the first retransmission interval of callers. A process with a small
@@ -131,6 +133,20 @@
 	return now_ms < health->reported_until_ms;
 }
 
+/*
+ * Whether the source suspected the server while its entry was about to expire,
+ * and the server has not answered since. New flows, which would renew such a
+ * report, end with the entry.
+ */
+static bool was_reported_before_removal(const struct cm_steer_server *server)
+{
+	uint64_t reported_ms = server->health.reported_ms;
+
+	return reported_ms &&
+	       reported_ms + ENTRY_EXPIRY_MS >= server->removed_ms &&
+	       !was_reached_since(server, reported_ms);
+}
+
 /*
  * Whether an observation agrees that a server whose entry was removed is gone.
  * A server that is cut off from the registry alone loses its entry, too.
@@ -138,12 +154,11 @@
 static bool shows_no_life(const struct cm_steer *steer, uint64_t now_ms,
 			  const struct cm_steer_server *server)
 {
-	const struct cm_data_watch *watch = &server->watch;
 	uint64_t since_ms;
 
-	return (cm_data_watch_is_repeated(watch, now_ms) &&
-		!was_reached_since(server, watch->repeated_from_ms)) ||
+	return cm_steer_gone_is_stalled(server, now_ms) ||
 	       seems_silent(server, now_ms) ||
+	       was_reported_before_removal(server) ||
 	       is_down(steer, now_ms, server, &since_ms);
 }
 
--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -139,6 +139,14 @@
 			  const struct cm_choice_input *choice,
 			  struct cm_steer_verdict *verdict);
 
+/**
+ * cm_steer_check_loads() - record whether the loads of other instances are
+ * known
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ */
+void cm_steer_check_loads(struct cm_steer *steer, uint64_t now_ms);
+
 /**
  * cm_steer_syn_is_overdue() - whether the answer to a SYN is overdue
  * @steer: the instance; its lock is held
--- a/tests/unit/test_down_list.c
+++ b/tests/unit/test_down_list.c
@@ -41,7 +41,9 @@
 		ck_assert_uint_eq(count_down(NOW_MS + i), 0);
 	}
 	cm_down_list_report(&list, NOW_MS + 10, 2, &server, &none);
-	ck_assert_uint_eq(count_down(NOW_MS + 10), 1);
+	ck_assert_uint_eq(count_down(NOW_MS + 10), 0);
+	cm_down_list_report(&list, NOW_MS + 11, 2, &server, &server);
+	ck_assert_uint_eq(count_down(NOW_MS + 11), 1);
 }
 
 /* A server at its maximum number of connections answers no SYN of any instance
@@ -52,6 +54,8 @@
 		cm_down_list_report(&list, NOW_MS, reporter, &server, &none);
 	ck_assert_uint_eq(count_down(NOW_MS), 0);
 	cm_down_list_report(&list, NOW_MS, 11, &server, &server);
+	ck_assert_uint_eq(count_down(NOW_MS), 0);
+	cm_down_list_report(&list, NOW_MS, 12, &server, &server);
 	ck_assert_uint_eq(count_down(NOW_MS), 1);
 }
 
@@ -83,7 +87,7 @@
 	cm_down_list_report(&list, NOW_MS + CM_SUSPECT_TTL_MS, 1, &server,
 			    &server);
 	cm_down_list_report(&list, NOW_MS + CM_SUSPECT_TTL_MS, 2, &server,
-			    &none);
+			    &server);
 	ck_assert_uint_eq(count_down(NOW_MS + CM_SUSPECT_TTL_MS), 1);
 }
 
--- a/tests/unit/test_feed_down.c
+++ b/tests/unit/test_feed_down.c
@@ -84,8 +84,8 @@
 	return instance->steer.gone.down.servers.count;
 }
 
-/* One instance left a SYN unanswered, another one sees retransmitted data: all
- * instances, the source included, have to learn that the server is down. */
+/* Two instances see retransmitted data: all instances, the source included,
+ * have to learn that the server is down, but not after the first one. */
 TEST(server_that_two_instances_report_is_down_everywhere)
 {
 	start();
@@ -95,6 +95,10 @@
 	ck_assert_uint_eq(count_down(&other), 0);
 	make_stalled(&other, 2);
 	exchange(&source, &other);
+	ck_assert_uint_eq(count_down(&other), 0);
+	make_stalled(&follower, 2);
+	exchange(&source, &follower);
+	exchange(&source, &other);
 	ck_assert_uint_eq(count_down(&other), 1);
 	ck_assert_uint_eq(count_down(&source), 1);
 	exchange(&source, &follower);
@@ -111,7 +115,10 @@
 	exchange(&source, &follower);
 	exchange(&source, &other);
 	make_stalled(&other, 2);
+	make_stalled(&follower, 2);
+	exchange(&source, &follower);
 	exchange(&source, &other);
+	ck_assert_uint_eq(count_down(&other), 1);
 	find_server(&other, 2)->acked_ms = NOW_MS;
 	exchange(&source, &other);
 	ck_assert_uint_eq(count_down(&other), 0);
@@ -127,6 +134,8 @@
 	exchange(&source, &follower);
 	exchange(&source, &other);
 	make_stalled(&other, 2);
+	make_stalled(&follower, 2);
+	exchange(&source, &follower);
 	exchange(&source, &other);
 	ck_assert_uint_eq(count_down(&other), 1);
 	exchange(&other, &follower);
@@ -139,6 +148,7 @@
 	exchange(&other, &follower);
 	ck_assert_uint_eq(count_down(&follower), 0);
 	make_silent(&source, 2);
+	make_stalled(&source, 2);
 	exchange(&other, &source);
 	ck_assert_uint_eq(count_down(&source), 1);
 }
--- a/tests/unit/test_steer_explain.c
+++ b/tests/unit/test_steer_explain.c
@@ -83,6 +83,7 @@
 	steering_make_ready(4);
 	server = find_server(1);
 	cm_server_pool_flow_opened(server);
+	server->load.own = 1000;
 	server->health.failed_per_mille = 500;
 	server->health.ended_ms = steering_ms;
 	cm_server_health_eject(&server->health, steering_ms);
--- a/tests/unit/test_steer_gone.c
+++ b/tests/unit/test_steer_gone.c
@@ -8,6 +8,7 @@
 /** Time within which all entries of a failure domain expire when it is cut off
  * from the registry, ms; servers renew their entries at this interval. */
 #define REMOVALS_SPREAD_MS 1200
+#define ENTRY_EXPIRY_MS 3600
 /** Number of servers in each failure domain. */
 #define SERVERS 4
 
@@ -216,10 +217,32 @@
 	/* A duplicate that the network made. */
 	ck_assert_int_eq(send_data_to(1, 5, 1).action, CM_STEER_FORWARD);
 	steering_advance(150);
+	/* The first retransmission may be due to one lost packet. */
+	ck_assert_int_eq(send_data_to(1, 5, 1).action, CM_STEER_FORWARD);
+	steering_advance(400);
 	ck_assert_int_eq(send_data_to(1, 5, 1).reason, CM_C_STEER_GONE_REMOVED);
 	assert_reset(1, CM_C_STEER_GONE_REMOVED);
 }
 
+/* A report that agreed with the removal must not lapse before the callers of
+ * idle flows send their next requests. An answer ends it. */
+TEST(report_before_the_removal_stays_evidence)
+{
+	struct cm_steer_server *server;
+	uint64_t reported_ms;
+
+	steering_make_ready(SERVERS);
+	server = cm_steer_servers_find_by_id(&steering.servers, 1);
+	reported_ms = steering_ms;
+	cm_server_health_reported(&server->health, reported_ms);
+	steering_advance(ENTRY_EXPIRY_MS - 100);
+	remove_server(1);
+	steering_advance(2 * REMOVALS_SPREAD_MS);
+	assert_reset(1, CM_C_STEER_GONE_REMOVED);
+	server->health.answered_ms = reported_ms + 1;
+	assert_forwarded(1);
+}
+
 /* The same for a server that was cut off from the registry while draining. */
 TEST(no_flow_of_a_draining_server_that_answers_is_reset)
 {
