--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -235,6 +235,22 @@
 		cm_steer_registry_unreachable(feed->steer);
 }
 
+/*
+ * Whether the sender's copy is behind this one. A snapshot may end at an
+ * earlier position than this copy, but never in an earlier era than the latest
+ * one seen: it would move the copy back.
+ */
+static bool is_sender_behind(const struct cm_feed *feed,
+			     const struct cm_message_items *items)
+{
+	/* Revision 0: the sender has no usable copy. */
+	if (!items->revision || cm_position_era(items->revision) <
+					cm_position_era(feed->era.latest))
+		return true;
+	return !items->starts_snapshot && !feed->snapshot.sender_incarnation &&
+	       items->revision < feed->items.revision;
+}
+
 int cm_feed_apply_answer(struct cm_feed *feed, uint64_t now_ms,
 			 const struct cm_endpoint *from, uint64_t incarnation,
 			 const struct cm_message_items *items)
@@ -249,11 +265,7 @@
 		cm_histograms_add(&feed->steer->histograms, CM_H_SOURCE_ANSWER,
 				  now_ms - feed->request_sent_ms);
 	feed->request_sent_ms = 0;
-	/* Revision 0: the sender has no usable copy. */
-	is_behind =
-		!items->revision || (!items->starts_snapshot &&
-				     !feed->snapshot.sender_incarnation &&
-				     items->revision < feed->items.revision);
+	is_behind = is_sender_behind(feed, items);
 	is_usable = record_answer(feed, now_ms, from, items, is_behind);
 	if (!is_behind)
 		error = apply_items(feed, now_ms, incarnation, items);
--- a/tests/unit/test_feed_era.c
+++ b/tests/unit/test_feed_era.c
@@ -313,6 +313,51 @@
 	ck_assert_uint_eq(follower.steer.servers.count, 3);
 }
 
+/* A stale copy requests a snapshot from any source. That of an earlier era must
+ * not move the copy back, end its staleness or confirm it as current. */
+TEST(snapshot_of_an_earlier_era_is_refused_by_a_stale_copy)
+{
+	const struct cm_registry_sink sink = cm_feed_sink(&follower.feed, true);
+	struct cm_message message;
+
+	read_servers(&source, 1, 4, at(1, REVISION));
+	cm_feed_begin_read(&follower.feed, true);
+	put_server(&sink, 1, at(2, COPY_REVISION));
+	sink.complete_up_to(sink.user, at(2, COPY_REVISION));
+	message = make_answer(&source, &follower);
+	ck_assert(message.items.starts_snapshot);
+	ASSERT_OK(apply_answer(&follower, SOURCE_INCARNATION, &message));
+	ck_assert_uint_eq(follower.steer.servers.count, 1);
+	ck_assert(follower.feed.is_stale);
+	ck_assert(!follower.feed.was_current);
+	ck_assert_uint_eq(cm_feed_revision(&follower.feed),
+			  at(2, COPY_REVISION));
+}
+
+/* The sender of a snapshot stops, and the next source is in an earlier era. Its
+ * snapshot must not replace the parts that were received. */
+TEST(snapshot_of_an_earlier_era_does_not_replace_a_later_one)
+{
+	const struct cm_registry_sink sink = cm_feed_sink(&source.feed, true);
+	struct cm_message message;
+
+	read_servers(&other, 1, 3, at(1, REVISION));
+	fetch_all(&other, OTHER_INCARNATION);
+	cm_feed_begin_read(&source.feed, false);
+	for (uint64_t id = 1; id <= SERVER_COUNT; id++)
+		put_server(&sink, id, at(2, id));
+	sink.complete_up_to(sink.user, at(2, SERVER_COUNT));
+	cm_feed_registry_answered(&source.feed, NOW_MS);
+	ck_assert(fetch_part(&source, SOURCE_INCARNATION));
+	message = make_answer(&other, &follower);
+	ck_assert(message.items.starts_snapshot);
+	ASSERT_OK(apply_answer(&follower, OTHER_INCARNATION, &message));
+	ck_assert_uint_eq(follower.feed.snapshot.sender_incarnation,
+			  SOURCE_INCARNATION);
+	fetch_all(&source, SOURCE_INCARNATION);
+	ck_assert_uint_eq(follower.steer.servers.count, SERVER_COUNT);
+}
+
 /* The source's era changes after the first part of a snapshot. The parts of two
  * eras don't fit together. */
 TEST(snapshot_starts_again_when_the_era_of_the_source_changes)
