Include the known members in the entry written after a change of era

The entry is written from the roster at once after a change. During an outage the roster may expire within 5 s, as followers skip a source that can't reach the store. The entry then listed the writer alone, and all instances removed the other members: loads and cold start rates were estimated for one instance.

From a change of era until an entry of the new era was read, the roster is completed with the members that the instance knows before a write, as if they had sent a request now. Those that have stopped expire and are removed by a later write. Filling the roster when the change is seen was ruled out: a write that fails for 5 s would shrink the entry again. The condition also covers a copy without the entry, so members_are_restored becomes members_were_lost.

--- a/include/chervilmast/roster.h
+++ b/include/chervilmast/roster.h
@@ -94,6 +94,17 @@
 void cm_roster_record_request(struct cm_roster *roster, uint64_t now_ms,
 			      const struct cm_peer_entry *entry);
 
+/**
+ * cm_roster_add() - add a member as if it had sent a request now
+ * @roster: the roster
+ * @now_ms: current time, ms
+ * @entry: its entry; its rank is ignored
+ *
+ * Changes nothing if the roster contains the member.
+ */
+void cm_roster_add(struct cm_roster *roster, uint64_t now_ms,
+		   const struct cm_peer_entry *entry);
+
 /**
  * cm_roster_expire() - remove members that have sent no request for
  * CM_ROSTER_TIMEOUT_MS
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -125,6 +125,13 @@
 	member->is_stored = false;
 }
 
+void cm_roster_add(struct cm_roster *roster, uint64_t now_ms,
+		   const struct cm_peer_entry *entry)
+{
+	if (!find(roster, entry->name))
+		cm_roster_record_request(roster, now_ms, entry);
+}
+
 void cm_roster_expire(struct cm_roster *roster, uint64_t now_ms)
 {
 	uint32_t kept = 0;
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -22,7 +22,7 @@
 	feed->read_may_be_stale = false;
 	feed->is_stale = false;
 	feed->members_revision = 0;
-	feed->members_are_restored = false;
+	feed->members_were_lost = false;
 	feed->read_has_plan = false;
 	cm_feed_choice_init(&feed->source, config->age_max_ms);
 	memset(&feed->request_address, 0, sizeof(feed->request_address));
@@ -136,7 +136,7 @@
 	cm_roster_record_request(&feed->roster, now_ms, &feed->self);
 	cm_feed_forget_earlier_members(feed);
 	is_writer =
-		feed->members_revision && !feed->members_are_restored ?
+		feed->members_revision && !feed->members_were_lost ?
 			cm_roster_is_first(&feed->roster, feed->self.name) :
 			!cm_steer_select_source(feed->steer, feed->self.name,
 						now_ms, &feed->source, &other);
@@ -144,6 +144,21 @@
 	return is_writer;
 }
 
+/*
+ * During an outage the roster may expire, as instances skip a source that can't
+ * reach the registry. A write of the roster alone would then remove all other
+ * members at every instance of all failure domains. Members that have stopped
+ * expire again and are removed by a later write.
+ */
+static void add_known_members(struct cm_feed *feed, uint64_t now_ms)
+{
+	uint32_t count = cm_steer_list_peers(feed->steer, feed->self.domain,
+					     feed->peers_buffer, CM_ROSTER_MAX);
+
+	for (uint32_t i = 0; i < count; i++)
+		cm_roster_add(&feed->roster, now_ms, &feed->peers_buffer[i]);
+}
+
 uint32_t cm_feed_take_due_members(struct cm_feed *feed, uint64_t now_ms,
 				  bool force, struct cm_peer_entry *entries,
 				  uint64_t *revision)
@@ -154,6 +169,8 @@
 	cm_roster_record_request(&feed->roster, now_ms, &feed->self);
 	cm_roster_expire(&feed->roster, now_ms);
 	cm_feed_forget_earlier_members(feed);
+	if (feed->members_were_lost)
+		add_known_members(feed, now_ms);
 	if (force || cm_roster_write_is_due(&feed->roster, now_ms)) {
 		count = cm_roster_read(&feed->roster, entries);
 		feed->roster.written_ms = now_ms;
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -54,8 +54,9 @@
  *            can't be requested by revision and a full read has to follow
  * @members_revision: revision of the registry's entry of the members of the own
  *                    failure domain; 0 while there is none
- * @members_are_restored: that entry comes from the older copy of a store that
- *                        changed its era, and lists former members
+ * @members_were_lost: the store changed its era since that entry was last
+ *                     written: it is missing, or comes from the older copy and
+ *                     lists former members
  * @read_has_plan: the registry read or snapshot in progress contains a plan
  * that is not older than the one in force
  * @peers_buffer: buffer for a list of members
@@ -93,7 +94,7 @@
 	bool read_may_be_stale;
 	bool is_stale;
 	uint64_t members_revision;
-	bool members_are_restored;
+	bool members_were_lost;
 	bool read_has_plan;
 	struct cm_peer_entry peers_buffer[CM_ROSTER_MAX];
 	struct cm_feed_choice source;
@@ -239,7 +240,8 @@
  * @entries: set to the members; room for CM_ROSTER_MAX
  * @revision: set to the revision of the registry entry to replace; 0 for none
  *
- * A write that is due is recorded as started.
+ * A write that is due is recorded as started. After a change of era, the members
+ * that this instance knows are included even if they have sent it no request.
  *
  * Return: number of @entries; 0 when no write is due.
  */
--- a/src/daemon/feed_era.c
+++ b/src/daemon/feed_era.c
@@ -10,6 +10,7 @@
 
 	if (!cm_store_era_observe(&feed->era, position, &change))
 		return;
+	feed->members_were_lost = true;
 	cm_steer_era_changed(feed->steer, cm_clock_ms());
 	cm_counters_add(&feed->steer->counters, CM_C_STORE_ERA_CHANGES);
 	cm_log(CM_EVENT_STORE_ERA,
--- a/src/daemon/feed_registry.c
+++ b/src/daemon/feed_registry.c
@@ -203,7 +203,7 @@
 	if (!strcmp(members->domain, feed->self.domain) &&
 	    revision > feed->members_revision) {
 		feed->members_revision = revision;
-		feed->members_are_restored = is_restored;
+		feed->members_were_lost = is_restored;
 		cm_roster_load(&feed->roster, cm_clock_ms(),
 			       is_restored ? NULL : members);
 	}
--- a/tests/unit/test_feed_era.c
+++ b/tests/unit/test_feed_era.c
@@ -459,7 +459,7 @@
 	ck_assert_uint_eq(revision, at(2, COPY_REVISION));
 	ck_assert_str_eq(entries[0].name, "a-1");
 	put_members(&source, false, "a-1", at(2, COPY_REVISION + 1));
-	ck_assert(!source.feed.members_are_restored);
+	ck_assert(!source.feed.members_were_lost);
 }
 
 /* The copy has no members entry. A write must not expect the revision of the
@@ -479,3 +479,38 @@
 			  1);
 	ck_assert_uint_eq(revision, 0);
 }
+
+static bool lists(const struct cm_peer_entry *entries, uint32_t count,
+		  const char *name)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (!strcmp(entries[i].name, name))
+			return true;
+	return false;
+}
+
+static const char *const copied_first[] = { "a-7", NULL };
+
+/* The roster has expired during an outage. The entry that is written at once
+ * must not remove the other members, whether the copy has an entry or not. */
+TEST_TABLE(members_written_after_an_outage_include_the_known_ones, copied_first)
+{
+	const uint64_t later_ms = cm_clock_ms() + 2 * CM_ROSTER_TIMEOUT_MS;
+	struct cm_peer_entry entries[CM_ROSTER_MAX];
+	uint64_t revision;
+	uint32_t count;
+
+	read_servers(&source, 1, 2, at(1, REVISION));
+	put_members(&source, false, "a-2", at(1, REVISION + 1));
+	read_with_members(&source, copied_first[_i], at(2, COPY_REVISION));
+	count = cm_feed_take_due_members(&source.feed, later_ms, true, entries,
+					 &revision);
+	ck_assert_uint_eq(count, 2);
+	ck_assert(lists(entries, count, "a-1"));
+	ck_assert(lists(entries, count, "a-2"));
+	put_members(&source, false, "a-1", at(2, COPY_REVISION + 1));
+	count = cm_feed_take_due_members(&source.feed,
+					 later_ms + 2 * CM_ROSTER_TIMEOUT_MS,
+					 true, entries, &revision);
+	ck_assert_uint_eq(count, 1);
+}
