Add members of other domains from entries read on a change of era

An entry of another failure domain was ignored during the first read of an era, as it may come from the older copy. If that domain had already written it again in the new era, the instance kept the earlier members until the entry changed.

The two can't be told apart by revision, as the number may have been assigned again. The members of such an entry are now added, and none is removed until the entry changes. Members that left are listed for longer, but none is unknown. The entry of the own domain is handled as before, since it is replaced.

--- a/src/daemon/feed_registry.c
+++ b/src/daemon/feed_registry.c
@@ -165,13 +165,12 @@
 	}
 }
 
-static void apply_members(struct cm_feed *feed,
-			  const struct cm_domain_members *members,
-			  uint64_t revision)
+static void put_members(struct cm_feed *feed,
+			const struct cm_domain_members *members,
+			uint64_t revision)
 {
 	struct cm_registry_item item;
 
-	remove_missing_members(feed, members, revision);
 	for (uint32_t i = 0; i < members->count; i++) {
 		cm_registry_item_peer(&item, &members->entries[i]);
 		put_item(feed, &item, revision);
@@ -184,14 +183,18 @@
 }
 
 /*
- * While the first snapshot of a later era is read, the entry comes from an
- * older copy of the store, and the members in this copy of the registry are
- * more recent. Only the entry's revision is used, to replace the entry.
+ * While the first snapshot of a later era is read, an entry may come from an
+ * older copy of the store, and the members in this copy of the registry may be
+ * more recent: none is removed. Of the own failure domain's entry, only the
+ * revision is used, to replace the entry. That of another domain may have been
+ * written again before this read and is then the latest one, so its members are
+ * added.
  */
 static void on_members(void *user, const struct cm_domain_members *members,
 		       uint64_t revision)
 {
 	struct cm_feed *feed = user;
+	bool is_own = !strcmp(members->domain, feed->self.domain);
 	bool is_restored;
 
 	pthread_mutex_lock(&feed->lock);
@@ -199,9 +202,10 @@
 	is_restored = cm_feed_is_entering_era(feed) &&
 		      knows_members(feed, members->domain);
 	if (!is_restored)
-		apply_members(feed, members, revision);
-	if (!strcmp(members->domain, feed->self.domain) &&
-	    revision > feed->members_revision) {
+		remove_missing_members(feed, members, revision);
+	if (!is_restored || !is_own)
+		put_members(feed, members, revision);
+	if (is_own && revision > feed->members_revision) {
 		feed->members_revision = revision;
 		feed->members_were_lost = is_restored;
 		cm_roster_load(&feed->roster, cm_clock_ms(),
--- a/tests/unit/test_feed_era.c
+++ b/tests/unit/test_feed_era.c
@@ -514,3 +514,43 @@
 					 true, entries, &revision);
 	ck_assert_uint_eq(count, 1);
 }
+
+static void put_other_domain(const struct cm_registry_sink *sink,
+			     const char *first, const char *second,
+			     cm_position revision)
+{
+	struct cm_peer_entry entries[] = {
+		{ .domain = "b", .control = { 2, 1, 6 }, .rank = 1 },
+		{ .domain = "b", .control = { 2, 2, 6 }, .rank = 2 },
+	};
+	const struct cm_domain_members members = { "b", entries,
+						   second ? 2 : 1 };
+
+	snprintf(entries[0].name, sizeof(entries[0].name), "%s", first);
+	if (second)
+		snprintf(entries[1].name, sizeof(entries[1].name), "%s",
+			 second);
+	sink->members(sink->user, &members, revision);
+}
+
+/* The other failure domain has written its entry again before this instance
+ * reads. Its new member must not stay unknown until the entry next changes. */
+TEST(members_of_another_domain_are_added_from_an_entry_written_again)
+{
+	const struct cm_registry_sink changes =
+		cm_feed_sink(&source.feed, false);
+	const struct cm_registry_sink sink = cm_feed_sink(&source.feed, true);
+
+	read_servers(&source, 1, 2, at(1, REVISION));
+	put_other_domain(&changes, "b-1", NULL, at(1, REVISION + 1));
+	cm_feed_begin_read(&source.feed, false);
+	put_other_domain(&sink, "b-2", "b-3", at(2, COPY_REVISION));
+	sink.complete_up_to(sink.user, at(2, COPY_REVISION));
+	ck_assert(has_peer(&source, "b-1"));
+	ck_assert(has_peer(&source, "b-2"));
+	ck_assert(has_peer(&source, "b-3"));
+	put_other_domain(&changes, "b-3", NULL, at(2, COPY_REVISION + 1));
+	ck_assert(!has_peer(&source, "b-1"));
+	ck_assert(!has_peer(&source, "b-2"));
+	ck_assert(has_peer(&source, "b-3"));
+}
