Test eras through the adapter, at followers and with reused leases

Mutants that disabled parts of the handling of eras passed. In the process test the stand-in went on with the lease numbers of the copy, which are higher than those that the instances had held since before it, so no renewal could reach another client.

The stand-in now assigns lease numbers again from the first one after it goes back, and platform_standin_take_leases() gives all lost numbers to another client, so the number of leases is no longer a parameter. New unit tests cover the era in begin_call() and end_call(), raise_era(), the return of failure domains at followers, and kept members of other domains.

--- a/tests/process/scenario.c
+++ b/tests/process/scenario.c
@@ -38,8 +38,6 @@
 #define AGREE_MS 2000
 /** Duration of the outage before the second change, ms. */
 #define OUTAGE_MS 1000
-/** More leases than the instances hold, so that all their numbers are used. */
-#define FOREIGN_LEASES 16
 
 /* Stops one instance, drains one server and kills another instance. */
 static void play_plain(struct platform_standin *store)
@@ -180,7 +178,7 @@
 	run(outage_ms, REQUESTS_PER_S);
 	platform_standin_go_back(store, ms);
 	platform_standin_set_fault(store, PLATFORM_FAULT_NONE);
-	platform_standin_take_leases(store, FOREIGN_LEASES);
+	platform_standin_take_leases(store);
 	run(WRITE_AGAIN_MS, REQUESTS_PER_S);
 	check_plans("before the state was written again");
 	write_state(store);
--- a/tests/standin/platform_history.c
+++ b/tests/standin/platform_history.c
@@ -46,8 +46,7 @@
 }
 
 void platform_history_record(struct platform_history *history, uint64_t now_ms,
-			     const struct fake_kv *kv,
-			     const struct platform_leases *leases)
+			     const struct fake_kv *kv)
 {
 	struct platform_copy *copy = copy_at(history, history->count);
 
@@ -57,7 +56,6 @@
 		return;
 	drop_copy(copy);
 	copy->taken_ms = now_ms;
-	copy->granted_count = leases->granted_count;
 	copy_kv(&copy->kv, kv);
 	history->count++;
 }
@@ -84,8 +82,7 @@
 	fake_kv_finish(kv);
 	copy_kv(kv, &copy->kv);
 	forget_leases(kv);
-	memset(leases->items, 0, sizeof(leases->items));
-	leases->granted_count = copy->granted_count;
+	platform_leases_lose(leases);
 }
 
 void platform_history_finish(struct platform_history *history)
--- a/tests/standin/platform_history.h
+++ b/tests/standin/platform_history.h
@@ -22,12 +22,10 @@
  * struct platform_copy - a copy of the store
  * @taken_ms: when it was taken, ms; 0 for an unused entry
  * @kv: the keys
- * @granted_count: number of leases granted before the copy
  */
 struct platform_copy {
 	uint64_t taken_ms;
 	struct fake_kv kv;
-	int64_t granted_count;
 };
 
 /**
@@ -43,8 +41,7 @@
 /** platform_history_record() - take a copy if the last one is older than
  * PLATFORM_COPY_INTERVAL_MS */
 void platform_history_record(struct platform_history *history, uint64_t now_ms,
-			     const struct fake_kv *kv,
-			     const struct platform_leases *leases);
+			     const struct fake_kv *kv);
 
 /**
  * platform_history_restore() - go back to a copy
@@ -52,7 +49,7 @@
  * @before_ms: the latest copy taken at this time or earlier is restored, or the
  *             earliest one
  * @kv: set to the keys of the copy, without their leases
- * @leases: all leases are lost; later ones get numbers from the copy's on
+ * @leases: all leases are lost; later ones get the same numbers again
  */
 void platform_history_restore(struct platform_history *history,
 			      uint64_t before_ms, struct fake_kv *kv,
--- a/tests/standin/platform_lease.c
+++ b/tests/standin/platform_lease.c
@@ -1,6 +1,7 @@
 #include "standin/platform_lease.h"
 
 #include <stddef.h>
+#include <string.h>
 
 #include "ports/clock.h"
 
@@ -28,7 +29,16 @@
 
 void platform_lease_grant_foreign(struct platform_leases *leases, int ttl_ms)
 {
-	find(leases, platform_lease_grant(leases, ttl_ms))->is_foreign = true;
+	while (leases->granted_count < leases->lost_count)
+		find(leases, platform_lease_grant(leases, ttl_ms))->is_foreign =
+			true;
+}
+
+void platform_leases_lose(struct platform_leases *leases)
+{
+	memset(leases->items, 0, sizeof(leases->items));
+	leases->lost_count = leases->granted_count;
+	leases->granted_count = 0;
 }
 
 int platform_lease_renew(struct platform_leases *leases, int64_t id)
--- a/tests/standin/platform_lease.h
+++ b/tests/standin/platform_lease.h
@@ -29,21 +29,28 @@
 /**
  * struct platform_leases - all leases
  * @items: the leases and unused entries
- * @granted_count: number of leases granted so far
+ * @granted_count: number of leases granted since the leases were last lost
+ * @lost_count: number of leases granted before that
  * @foreign_renewals: number of renewals of leases of another client
  */
 struct platform_leases {
 	struct platform_lease items[PLATFORM_LEASES_MAX];
 	int64_t granted_count;
+	int64_t lost_count;
 	int foreign_renewals;
 };
 
 /** platform_lease_grant() - create a lease; returns its ID */
 int64_t platform_lease_grant(struct platform_leases *leases, int ttl_ms);
 
-/** platform_lease_grant_foreign() - create a lease of another client */
+/** platform_lease_grant_foreign() - grant the numbers of all lost leases that
+ * are not yet assigned again to another client */
 void platform_lease_grant_foreign(struct platform_leases *leases, int ttl_ms);
 
+/** platform_leases_lose() - lose all leases; their numbers are assigned again
+ */
+void platform_leases_lose(struct platform_leases *leases);
+
 /** platform_lease_renew() - renew a lease; returns its time to live in ms, or 0
  * when it has expired */
 int platform_lease_renew(struct platform_leases *leases, int64_t id);
--- a/tests/standin/platform_store.c
+++ b/tests/standin/platform_store.c
@@ -380,8 +380,7 @@
 		standin->era++;
 	}
 	platform_leases_expire(&standin->leases, &standin->kv, cm_clock_ms());
-	platform_history_record(&standin->history, cm_clock_ms(), &standin->kv,
-				&standin->leases);
+	platform_history_record(&standin->history, cm_clock_ms(), &standin->kv);
 }
 
 static enum MHD_Result answer(struct platform_standin *standin,
@@ -549,12 +548,10 @@
 	pthread_mutex_unlock(&standin->lock);
 }
 
-void platform_standin_take_leases(struct platform_standin *standin, int count)
+void platform_standin_take_leases(struct platform_standin *standin)
 {
 	pthread_mutex_lock(&standin->lock);
-	for (int i = 0; i < count; i++)
-		platform_lease_grant_foreign(&standin->leases,
-					     FOREIGN_LEASE_TTL_MS);
+	platform_lease_grant_foreign(&standin->leases, FOREIGN_LEASE_TTL_MS);
 	pthread_mutex_unlock(&standin->lock);
 }
 
--- a/tests/standin/platform_store.h
+++ b/tests/standin/platform_store.h
@@ -83,11 +83,11 @@
 void platform_standin_go_back(struct platform_standin *standin, uint64_t ms);
 
 /**
- * platform_standin_take_leases() - grant leases to another client
+ * platform_standin_take_leases() - grant the numbers of the leases that the
+ * store lost when it last went back to another client
  * @standin: the store
- * @count: number of leases
  */
-void platform_standin_take_leases(struct platform_standin *standin, int count);
+void platform_standin_take_leases(struct platform_standin *standin);
 
 /** platform_standin_foreign_renewals() - number of renewals of the leases of
  * another client that the instances attempted */
--- a/tests/unit/test_feed_era.c
+++ b/tests/unit/test_feed_era.c
@@ -282,6 +282,36 @@
 	ck_assert(is_domain_out(&follower));
 }
 
+/* Lets the follower apply an answer of the source at @now_ms. */
+static void fetch_at(uint64_t now_ms)
+{
+	const struct cm_endpoint address = { 0x7f000001, 9, 6 };
+	struct cm_message message = make_answer(&source, &follower);
+
+	message.items.requested_ms = now_ms;
+	ASSERT_OK(cm_feed_apply_answer(&follower.feed, now_ms, &address,
+				       SOURCE_INCARNATION, &message.items));
+	cm_message_finish(&message);
+}
+
+/* A follower gets no answer of the registry. The failure domain must return to
+ * service with an answer of the source after the grace period. */
+TEST(missing_domain_returns_at_a_follower_after_the_grace_period)
+{
+	uint64_t end_ms;
+
+	read_servers(&source, 1, 3, at(1, REVISION));
+	set_domain_out(&source, true, at(1, REVISION + 1));
+	fetch_all(&source, SOURCE_INCARNATION);
+	read_servers(&source, 1, 3, at(2, COPY_REVISION));
+	fetch_all(&source, SOURCE_INCARNATION);
+	end_ms = follower.steer.registry_restored_ms + GRACE_MS;
+	fetch_at(end_ms - 1);
+	ck_assert(is_domain_out(&follower));
+	fetch_at(end_ms);
+	ck_assert(!is_domain_out(&follower));
+}
+
 /* A change of the new era reaches a follower that has its snapshot. */
 TEST(changes_follow_the_snapshot_of_the_new_era)
 {
@@ -554,3 +584,18 @@
 	ck_assert(!has_peer(&source, "b-2"));
 	ck_assert(has_peer(&source, "b-3"));
 }
+
+/* The copy lacks the entry of another domain, whose members are alive. */
+TEST(members_of_another_domain_are_kept_without_their_entry)
+{
+	const struct cm_registry_sink changes =
+		cm_feed_sink(&source.feed, false);
+
+	read_servers(&source, 1, 2, at(1, REVISION));
+	put_other_domain(&changes, "b-1", "b-2", at(1, REVISION + 1));
+	read_servers(&source, 1, 2, at(2, COPY_REVISION));
+	ck_assert(has_peer(&source, "b-1"));
+	ck_assert(has_peer(&source, "b-2"));
+	read_servers(&source, 1, 2, at(2, COPY_REVISION + 1));
+	ck_assert(!has_peer(&source, "b-1"));
+}
--- a/tests/unit/test_registry_loop.c
+++ b/tests/unit/test_registry_loop.c
@@ -270,6 +270,21 @@
 			  fake.stalled_since_ms);
 }
 
+/* The copy got a later era from its source than the registry has reported. The
+ * registry must refuse answers of an earlier era in its next call. */
+TEST(era_of_the_copy_is_passed_to_the_registry)
+{
+	const struct cm_registry_sink sink = cm_feed_sink(&feed, true);
+	cm_position reached;
+
+	ASSERT_OK(cm_position_compose(&reached, 2, REVISION));
+	cm_feed_begin_read(&feed, false);
+	sink.complete_up_to(sink.user, reached);
+	start();
+	wait_until_count(&fake.change_calls, 1);
+	ck_assert_uint_eq(fake.base.era, 2);
+}
+
 /* The store comes back from an older copy, without the leases and the members
  * entry. The entry must be written again at once, under a lease of the new era
  * and without the expected revision of the earlier one. */
--- a/tests/unit/test_store_era.c
+++ b/tests/unit/test_store_era.c
@@ -5,6 +5,7 @@
 
 #include "chervilmast/error.h"
 #include "chervilmast/store_era.h"
+#include "platform/registry.h"
 #include "platform/store_client.h"
 #include "standin/platform_store.h"
 
@@ -65,9 +66,10 @@
 static struct platform_standin standin;
 static struct platform_store store;
 
+static char url[URL_SIZE];
+
 static void setup(void)
 {
-	char url[URL_SIZE];
 	uint16_t port = platform_standin_start(&standin, 0);
 
 	ck_assert_uint_ne(port, 0);
@@ -385,9 +387,59 @@
 	ASSERT_OK(platform_store_grant_lease(&store, LEASE_TTL_MS, &lease));
 	ASSERT_OK(platform_store_renew_lease(&store, &lease));
 	platform_standin_go_back(&standin, 1000);
-	platform_standin_take_leases(&standin, 4);
+	platform_standin_take_leases(&standin);
 	ASSERT_OK(platform_store_read(&store, "", false, &sink));
 	ck_assert_int_eq(platform_store_renew_lease(&store, &lease),
 			 CM_E_NOT_FOUND);
 	ck_assert_int_eq(platform_standin_foreign_renewals(&standin), 0);
 }
+
+static void ignore_server(void *user, const struct cm_server_entry *entry,
+			  uint64_t revision)
+{
+	(void)user;
+	(void)entry;
+	(void)revision;
+}
+
+static const struct cm_registry_sink registry_sink = {
+	.server = ignore_server,
+	.restarted = record_restart,
+	.complete_up_to = record_reached,
+};
+
+/* The loop that calls the registry knows a later era than the store client. The
+ * adapter must pass it on, or data of the earlier era is applied. */
+TEST(registry_refuses_an_earlier_era_than_its_caller_knows)
+{
+	static struct platform_registry registry;
+	struct cm_registry *base = &registry.base;
+
+	ASSERT_OK(platform_registry_init(&registry, url, TIMEOUT_MS));
+	platform_standin_set_era(&standin, 1);
+	ASSERT_OK(base->ops->read(base, false, &registry_sink));
+	base->era = 2;
+	ck_assert_int_eq(base->ops->read(base, false, &registry_sink),
+			 CM_E_ERA_DIFFERS);
+	ck_assert_int_eq(base->ops->wait(base, position_of(1, 1), WATCH_MS,
+					 &registry_sink),
+			 CM_E_COMPACTED);
+	base->ops->finish(base);
+}
+
+/* The loop must learn the era, or it keeps the lease of the earlier one. */
+TEST(registry_reports_the_era_of_its_last_answer)
+{
+	static struct platform_registry registry;
+	struct cm_registry *base = &registry.base;
+	struct cm_registry_lease lease;
+
+	ASSERT_OK(platform_registry_init(&registry, url, TIMEOUT_MS));
+	platform_standin_set_era(&standin, 3);
+	ASSERT_OK(base->ops->read(base, false, &registry_sink));
+	ck_assert_uint_eq(base->era, 3);
+	platform_standin_set_era(&standin, 4);
+	ASSERT_OK(base->ops->grant_lease(base, &lease));
+	ck_assert_uint_eq(base->era, 4);
+	base->ops->finish(base);
+}
