--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -240,8 +240,9 @@
  * @entries: set to the members; room for CM_ROSTER_MAX
  * @revision: set to the revision of the registry entry to replace; 0 for none
  *
- * A write that is due is recorded as started. After a change of era, the members
- * that this instance knows are included even if they have sent it no request.
+ * A write that is due is recorded as started. After a change of era, the
+ * members that this instance knows are included even if they have sent it no
+ * request.
  *
  * Return: number of @entries; 0 when no write is due.
  */
