Count refused answers of an earlier era and log the first era seen

Answers of an earlier era were refused without a trace, apart from the error of store_unreachable, and restarted reads could not be seen. An instance's log did not tell in which era it had begun.

Adds the counters store_era_refused (answers of the store and of instances) and store_read_restarts, and the line store_era_first. A read that is refused is also counted in store_retries, as before.

The log line was seen in the output of suite feed; no test checks it.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -161,6 +161,10 @@
 	  "calls to the store that failed and are retried")                    \
 	X(STORE_ERA_CHANGES, "store_era_changes",                              \
 	  "times that the store came back from an older copy")                 \
+	X(STORE_ERA_REFUSED, "store_era_refused",                              \
+	  "answers of the store or an instance refused for an earlier era")    \
+	X(STORE_READ_RESTARTS, "store_read_restarts",                          \
+	  "reads of the store started again as its era changed")               \
 	X(NOTES_FROM_STORE, "notes_from_store",                                \
 	  "release notes and snapshots put in force from the store")           \
 	X(NOTES_FROM_PEERS, "notes_from_peers",                                \
--- a/src/daemon/feed_era.c
+++ b/src/daemon/feed_era.c
@@ -7,7 +7,13 @@
 		     const char *from)
 {
 	struct cm_era_change change;
+	bool is_first = !feed->era.latest && position;
 
+	if (is_first)
+		cm_log(CM_EVENT_STORE_ERA_FIRST,
+		       "from=%s era=%llu revision=%llu", from,
+		       (unsigned long long)cm_position_era(position),
+		       (unsigned long long)cm_position_revision(position));
 	if (!cm_store_era_observe(&feed->era, position, &change))
 		return;
 	feed->members_were_lost = true;
--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -240,13 +240,17 @@
  * earlier position than this copy, but never in an earlier era than the latest
  * one seen: it would move the copy back.
  */
-static bool is_sender_behind(const struct cm_feed *feed,
+static bool is_sender_behind(struct cm_feed *feed,
 			     const struct cm_message_items *items)
 {
 	/* Revision 0: the sender has no usable copy. */
-	if (!items->revision || cm_position_era(items->revision) <
-					cm_position_era(feed->era.latest))
+	if (!items->revision)
+		return true;
+	if (cm_position_era(items->revision) <
+	    cm_position_era(feed->era.latest)) {
+		cm_counters_add(&feed->steer->counters, CM_C_STORE_ERA_REFUSED);
 		return true;
+	}
 	return !items->starts_snapshot && !feed->snapshot.sender_incarnation &&
 	       items->revision < feed->items.revision;
 }
--- a/src/daemon/feed_registry.c
+++ b/src/daemon/feed_registry.c
@@ -266,6 +266,7 @@
 
 	pthread_mutex_lock(&feed->lock);
 	cm_feed_observe(feed, revision, FROM_REGISTRY);
+	cm_counters_add(&feed->steer->counters, CM_C_STORE_READ_RESTARTS);
 	feed->read_has_plan = false;
 	if (feed->items.is_receiving_snapshot)
 		cm_item_log_begin_snapshot(&feed->items);
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -89,6 +89,9 @@
 	X(STOPPED, INFO, "stopped", "the instance has shut down")              \
 	X(STORE_ERA, WARNING, "store_era",                                     \
 	  "the store came back from an older copy; all data is read anew")     \
+	X(STORE_ERA_FIRST, INFO, "store_era_first",                            \
+	  "the first position of the store that this instance got, with its "  \
+	  "era")                                                               \
 	X(STORE_REACHABLE, INFO, "store_reachable", "the store answers again") \
 	X(STORE_UNREACHABLE, WARNING, "store_unreachable",                     \
 	  "the store does not answer")
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -62,6 +62,8 @@
 	struct cm_steer *steer = loop->feed->steer;
 	bool is_reachable = !error || error == CM_E_COMPACTED;
 
+	if (error == CM_E_ERA_DIFFERS)
+		cm_counters_add(&steer->counters, CM_C_STORE_ERA_REFUSED);
 	if (!error)
 		cm_feed_registry_answered(loop->feed, loop->data_current_ms);
 	if (!is_reachable) {
--- a/tests/unit/test_feed_era.c
+++ b/tests/unit/test_feed_era.c
@@ -159,6 +159,9 @@
 	put_server(&sink, 1, at(1, REVISION));
 	put_server(&sink, 2, at(1, REVISION));
 	sink.restarted(sink.user, at(2, COPY_REVISION));
+	ck_assert_uint_eq(cm_counters_get(&source.steer.counters,
+					  CM_C_STORE_READ_RESTARTS),
+			  1);
 	put_server(&sink, 1, at(2, COPY_REVISION));
 	sink.complete_up_to(sink.user, at(2, COPY_REVISION));
 	ck_assert_int_eq(listing(&source, 1), CM_LISTED);
@@ -360,6 +363,9 @@
 	ck_assert_uint_eq(follower.steer.servers.count, 1);
 	ck_assert(follower.feed.is_stale);
 	ck_assert(!follower.feed.was_current);
+	ck_assert_uint_eq(cm_counters_get(&follower.steer.counters,
+					  CM_C_STORE_ERA_REFUSED),
+			  1);
 	ck_assert_uint_eq(cm_feed_revision(&follower.feed),
 			  at(2, COPY_REVISION));
 }
--- a/tests/unit/test_registry_loop.c
+++ b/tests/unit/test_registry_loop.c
@@ -34,6 +34,8 @@
  * @change_calls: number of calls for changes
  * @era_changes_at: number of calls for changes at which the era increases; 0
  *                  for never
+ * @earlier_answers: number of first calls for changes that get an answer of an
+ *                   earlier era
  * @writes: number of writes of the members
  * @write_revision: expected revision of the last write
  * @write_era: era of the lease of the last write
@@ -48,6 +50,7 @@
 	uint32_t stale_reads;
 	uint32_t change_calls;
 	uint32_t era_changes_at;
+	uint32_t earlier_answers;
 	uint32_t writes;
 	uint64_t write_revision;
 	uint64_t write_era;
@@ -106,6 +109,8 @@
 		fake.base.era++;
 	if (cm_position_era(after) < fake.base.era)
 		return CM_E_COMPACTED;
+	if (fake.change_calls <= fake.earlier_answers)
+		return CM_E_ERA_DIFFERS;
 	if (fake.stalled_since_ms)
 		return CM_E_UNAVAILABLE;
 	if (fake.stalls)
@@ -285,6 +290,17 @@
 	ck_assert_uint_eq(fake.base.era, 2);
 }
 
+/* Refused answers of an earlier era are counted, as they point to a replica of
+ * the store that was not restored. */
+TEST(answers_of_an_earlier_era_are_counted)
+{
+	fake.earlier_answers = 1;
+	start();
+	wait_until_count(&fake.change_calls, 2);
+	ck_assert_uint_eq(
+		cm_counters_get(&steer.counters, CM_C_STORE_ERA_REFUSED), 1);
+}
+
 /* The store comes back from an older copy, without the leases and the members
  * entry. The entry must be written again at once, under a lease of the new era
  * and without the expected revision of the earlier one. */
