--- a/tests/unit/test_feed_era.c
+++ b/tests/unit/test_feed_era.c
@@ -159,6 +159,9 @@
 	put_server(&sink, 1, at(1, REVISION));
 	put_server(&sink, 2, at(1, REVISION));
 	sink.restarted(sink.user, at(2, COPY_REVISION));
+	ck_assert_uint_eq(cm_counters_get(&source.steer.counters,
+					  CM_C_STORE_READ_RESTARTS),
+			  1);
 	put_server(&sink, 1, at(2, COPY_REVISION));
 	sink.complete_up_to(sink.user, at(2, COPY_REVISION));
 	ck_assert_int_eq(listing(&source, 1), CM_LISTED);
@@ -282,6 +285,36 @@
 	ck_assert(is_domain_out(&follower));
 }
 
+/* Lets the follower apply an answer of the source at @now_ms. */
+static void fetch_at(uint64_t now_ms)
+{
+	const struct cm_endpoint address = { 0x7f000001, 9, 6 };
+	struct cm_message message = make_answer(&source, &follower);
+
+	message.items.requested_ms = now_ms;
+	ASSERT_OK(cm_feed_apply_answer(&follower.feed, now_ms, &address,
+				       SOURCE_INCARNATION, &message.items));
+	cm_message_finish(&message);
+}
+
+/* A follower gets no answer of the registry. The failure domain must return to
+ * service with an answer of the source after the grace period. */
+TEST(missing_domain_returns_at_a_follower_after_the_grace_period)
+{
+	uint64_t end_ms;
+
+	read_servers(&source, 1, 3, at(1, REVISION));
+	set_domain_out(&source, true, at(1, REVISION + 1));
+	fetch_all(&source, SOURCE_INCARNATION);
+	read_servers(&source, 1, 3, at(2, COPY_REVISION));
+	fetch_all(&source, SOURCE_INCARNATION);
+	end_ms = follower.steer.registry_restored_ms + GRACE_MS;
+	fetch_at(end_ms - 1);
+	ck_assert(is_domain_out(&follower));
+	fetch_at(end_ms);
+	ck_assert(!is_domain_out(&follower));
+}
+
 /* A change of the new era reaches a follower that has its snapshot. */
 TEST(changes_follow_the_snapshot_of_the_new_era)
 {
@@ -313,6 +346,54 @@
 	ck_assert_uint_eq(follower.steer.servers.count, 3);
 }
 
+/* A stale copy requests a snapshot from any source. That of an earlier era must
+ * not move the copy back, end its staleness or confirm it as current. */
+TEST(snapshot_of_an_earlier_era_is_refused_by_a_stale_copy)
+{
+	const struct cm_registry_sink sink = cm_feed_sink(&follower.feed, true);
+	struct cm_message message;
+
+	read_servers(&source, 1, 4, at(1, REVISION));
+	cm_feed_begin_read(&follower.feed, true);
+	put_server(&sink, 1, at(2, COPY_REVISION));
+	sink.complete_up_to(sink.user, at(2, COPY_REVISION));
+	message = make_answer(&source, &follower);
+	ck_assert(message.items.starts_snapshot);
+	ASSERT_OK(apply_answer(&follower, SOURCE_INCARNATION, &message));
+	ck_assert_uint_eq(follower.steer.servers.count, 1);
+	ck_assert(follower.feed.is_stale);
+	ck_assert(!follower.feed.was_current);
+	ck_assert_uint_eq(cm_counters_get(&follower.steer.counters,
+					  CM_C_STORE_ERA_REFUSED),
+			  1);
+	ck_assert_uint_eq(cm_feed_revision(&follower.feed),
+			  at(2, COPY_REVISION));
+}
+
+/* The sender of a snapshot stops, and the next source is in an earlier era. Its
+ * snapshot must not replace the parts that were received. */
+TEST(snapshot_of_an_earlier_era_does_not_replace_a_later_one)
+{
+	const struct cm_registry_sink sink = cm_feed_sink(&source.feed, true);
+	struct cm_message message;
+
+	read_servers(&other, 1, 3, at(1, REVISION));
+	fetch_all(&other, OTHER_INCARNATION);
+	cm_feed_begin_read(&source.feed, false);
+	for (uint64_t id = 1; id <= SERVER_COUNT; id++)
+		put_server(&sink, id, at(2, id));
+	sink.complete_up_to(sink.user, at(2, SERVER_COUNT));
+	cm_feed_registry_answered(&source.feed, NOW_MS);
+	ck_assert(fetch_part(&source, SOURCE_INCARNATION));
+	message = make_answer(&other, &follower);
+	ck_assert(message.items.starts_snapshot);
+	ASSERT_OK(apply_answer(&follower, OTHER_INCARNATION, &message));
+	ck_assert_uint_eq(follower.feed.snapshot.sender_incarnation,
+			  SOURCE_INCARNATION);
+	fetch_all(&source, SOURCE_INCARNATION);
+	ck_assert_uint_eq(follower.steer.servers.count, SERVER_COUNT);
+}
+
 /* The source's era changes after the first part of a snapshot. The parts of two
  * eras don't fit together. */
 TEST(snapshot_starts_again_when_the_era_of_the_source_changes)
@@ -414,7 +495,7 @@
 	ck_assert_uint_eq(revision, at(2, COPY_REVISION));
 	ck_assert_str_eq(entries[0].name, "a-1");
 	put_members(&source, false, "a-1", at(2, COPY_REVISION + 1));
-	ck_assert(!source.feed.members_are_restored);
+	ck_assert(!source.feed.members_were_lost);
 }
 
 /* The copy has no members entry. A write must not expect the revision of the
@@ -434,3 +515,93 @@
 			  1);
 	ck_assert_uint_eq(revision, 0);
 }
+
+static bool lists(const struct cm_peer_entry *entries, uint32_t count,
+		  const char *name)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (!strcmp(entries[i].name, name))
+			return true;
+	return false;
+}
+
+static const char *const copied_first[] = { "a-7", NULL };
+
+/* The roster has expired during an outage. The entry that is written at once
+ * must not remove the other members, whether the copy has an entry or not. */
+TEST_TABLE(members_written_after_an_outage_include_the_known_ones, copied_first)
+{
+	const uint64_t later_ms = cm_clock_ms() + 2 * CM_ROSTER_TIMEOUT_MS;
+	struct cm_peer_entry entries[CM_ROSTER_MAX];
+	uint64_t revision;
+	uint32_t count;
+
+	read_servers(&source, 1, 2, at(1, REVISION));
+	put_members(&source, false, "a-2", at(1, REVISION + 1));
+	read_with_members(&source, copied_first[_i], at(2, COPY_REVISION));
+	count = cm_feed_take_due_members(&source.feed, later_ms, true, entries,
+					 &revision);
+	ck_assert_uint_eq(count, 2);
+	ck_assert(lists(entries, count, "a-1"));
+	ck_assert(lists(entries, count, "a-2"));
+	put_members(&source, false, "a-1", at(2, COPY_REVISION + 1));
+	count = cm_feed_take_due_members(&source.feed,
+					 later_ms + 2 * CM_ROSTER_TIMEOUT_MS,
+					 true, entries, &revision);
+	ck_assert_uint_eq(count, 1);
+}
+
+static void put_other_domain(const struct cm_registry_sink *sink,
+			     const char *first, const char *second,
+			     cm_position revision)
+{
+	struct cm_peer_entry entries[] = {
+		{ .domain = "b", .control = { 2, 1, 6 }, .rank = 1 },
+		{ .domain = "b", .control = { 2, 2, 6 }, .rank = 2 },
+	};
+	const struct cm_domain_members members = { "b", entries,
+						   second ? 2 : 1 };
+
+	snprintf(entries[0].name, sizeof(entries[0].name), "%s", first);
+	if (second)
+		snprintf(entries[1].name, sizeof(entries[1].name), "%s",
+			 second);
+	sink->members(sink->user, &members, revision);
+}
+
+/* The other failure domain has written its entry again before this instance
+ * reads. Its new member must not stay unknown until the entry next changes. */
+TEST(members_of_another_domain_are_added_from_an_entry_written_again)
+{
+	const struct cm_registry_sink changes =
+		cm_feed_sink(&source.feed, false);
+	const struct cm_registry_sink sink = cm_feed_sink(&source.feed, true);
+
+	read_servers(&source, 1, 2, at(1, REVISION));
+	put_other_domain(&changes, "b-1", NULL, at(1, REVISION + 1));
+	cm_feed_begin_read(&source.feed, false);
+	put_other_domain(&sink, "b-2", "b-3", at(2, COPY_REVISION));
+	sink.complete_up_to(sink.user, at(2, COPY_REVISION));
+	ck_assert(has_peer(&source, "b-1"));
+	ck_assert(has_peer(&source, "b-2"));
+	ck_assert(has_peer(&source, "b-3"));
+	put_other_domain(&changes, "b-3", NULL, at(2, COPY_REVISION + 1));
+	ck_assert(!has_peer(&source, "b-1"));
+	ck_assert(!has_peer(&source, "b-2"));
+	ck_assert(has_peer(&source, "b-3"));
+}
+
+/* The copy lacks the entry of another domain, whose members are alive. */
+TEST(members_of_another_domain_are_kept_without_their_entry)
+{
+	const struct cm_registry_sink changes =
+		cm_feed_sink(&source.feed, false);
+
+	read_servers(&source, 1, 2, at(1, REVISION));
+	put_other_domain(&changes, "b-1", "b-2", at(1, REVISION + 1));
+	read_servers(&source, 1, 2, at(2, COPY_REVISION));
+	ck_assert(has_peer(&source, "b-1"));
+	ck_assert(has_peer(&source, "b-2"));
+	read_servers(&source, 1, 2, at(2, COPY_REVISION + 1));
+	ck_assert(!has_peer(&source, "b-1"));
+}
