Raise the limit of an overload only on responses

Cause: with fewer than 8 responses in 500 ms the slowness is 0, which counted as fast. While servers did not answer at all, the limit rose by a sixteenth each 100 ms without bound, until the demand seemed covered and the overload ended. Change: the limit rises only with at least 8 responses, and it is at most twice the larger of the capacity and the completed work. Ruled out: lowering the limit without responses, as a pause of the callers looks the same.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -53,6 +53,8 @@
 #define RAISE_FAST_DIVISOR 16
 /** The limit is not lowered below the capacity divided by this. */
 #define LIMIT_MIN_DIVISOR 2
+/** Maximum of the limit, in multiples of the capacity or completed work. */
+#define LIMIT_MAX_FACTOR 2
 /** Part of the completed work by which the limit may be lower. */
 #define QUEUE_DIVISOR 4
 /** Time whose work may be admitted at once, ms; a fraction of an objective. */
@@ -325,20 +327,44 @@
 		       completed - completed / QUEUE_DIVISOR);
 }
 
+static uint64_t greatest_limit(const struct cm_admission *admission)
+{
+	return LIMIT_MAX_FACTOR *
+	       max_u64(admission->capacity, admission->evidence.completed);
+}
+
+/*
+ * Too few responses don't show that servers have free slots: servers that don't
+ * answer at all reject nothing either.
+ */
+static void raise_limit(struct cm_admission *admission)
+{
+	const struct cm_admission_evidence *evidence = &admission->evidence;
+
+	if (evidence->answered < ANSWERED_MIN)
+		return;
+	if (evidence->slowness_per_mille < FAST_PER_MILLE &&
+	    !evidence->rejected)
+		admission->limit += admission->limit / RAISE_FAST_DIVISOR;
+	else if (evidence->slowness_per_mille < RAISE_PER_MILLE)
+		admission->limit += admission->limit / RAISE_DIVISOR;
+}
+
 static void adapt_limit(struct cm_admission *admission)
 {
 	uint32_t slowness = admission->evidence.slowness_per_mille;
 	uint64_t least = least_limit(admission);
+	uint64_t greatest = greatest_limit(admission);
 
 	if (rejections_are_many(&admission->evidence) ||
 	    slowness > TOO_SLOW_PER_MILLE)
 		admission->limit -= admission->limit / LOWER_DIVISOR;
-	else if (slowness < FAST_PER_MILLE && !admission->evidence.rejected)
-		admission->limit += admission->limit / RAISE_FAST_DIVISOR;
-	else if (slowness < RAISE_PER_MILLE)
-		admission->limit += admission->limit / RAISE_DIVISOR;
+	else
+		raise_limit(admission);
 	if (admission->limit < least)
 		admission->limit = least;
+	if (admission->limit > greatest)
+		admission->limit = greatest;
 }
 
 /* Sets @since_ms to the time since when @condition holds. */
--- a/tests/unit/test_route_admission.c
+++ b/tests/unit/test_route_admission.c
@@ -189,6 +189,35 @@
 	ck_assert_uint_ge(admission.limit, CAPACITY / 2);
 }
 
+/* Servers that don't answer have no free slots: the limit must not rise until
+ * the demand seems covered. */
+TEST(limit_does_not_rise_without_responses)
+{
+	static const struct seen silence = { 8, 0, 0, 0, 0 };
+	uint64_t limit;
+
+	begin_overload();
+	limit = admission.limit;
+	see(&silence, 10000);
+	ck_assert(admission.is_overloaded);
+	ck_assert_uint_le(admission.limit, limit);
+}
+
+/* Fast responses to a quarter of the requests don't show that servers can serve
+ * all: the overload must not end. */
+TEST(limit_is_at_most_twice_what_is_possible)
+{
+	static const struct seen quarter = { 16, 4, WORK_MS, 0, 0 };
+	uint64_t possible = CAPACITY;
+
+	begin_overload();
+	see(&quarter, 10000);
+	ck_assert(admission.is_overloaded);
+	if (admission.evidence.completed > possible)
+		possible = admission.evidence.completed;
+	ck_assert_uint_le(admission.limit, 2 * possible);
+}
+
 /* After a pause, the packets that waited arrive at once. */
 TEST(pause_ends_overload_and_its_burst_begins_none)
 {
