Record a rejection only when its request ends

Cause: a response of which the first acknowledged part had at most 200 bytes was recorded as a rejection at once, although a body followed the header. Such responses of two servers were evidence of overload. Change: such a response is recorded when the request ends with it: at the FIN or RST of the caller or at the next request of the flow, once. Data of an upload after an interim response is no end, as more of the upload may follow. Ruled out: counting a rejection at once and taking it back later, as an overload may have begun meanwhile. Figures: with the old code the cases of a first acknowledgment and of an interim response fail (1 rejection each).

--- a/include/chervilmast/flow_request.h
+++ b/include/chervilmast/flow_request.h
@@ -3,7 +3,9 @@
  *
  * A request begins with the caller's first data packet, or with its first data
  * packet after the response to the previous request. It is answered when the
- * caller acknowledges a response that is longer than an error.
+ * caller acknowledges a response that is longer than an error, and rejected
+ * when it ends before that: a header may be acknowledged before the body is
+ * sent.
  */
 #ifndef CHERVILMAST_FLOW_REQUEST_H
 #define CHERVILMAST_FLOW_REQUEST_H
@@ -15,12 +17,14 @@
  * enum cm_request_state - state of the latest request on a flow
  * @CM_REQUEST_NONE: no request was seen
  * @CM_REQUEST_WAITING: the caller waits for a response
- * @CM_REQUEST_REJECTED: the response is as short as an error so far
+ * @CM_REQUEST_SHORT: the response is as short as an error so far
+ * @CM_REQUEST_REJECTED: it ended with a response as short as an error
  * @CM_REQUEST_ANSWERED: the caller has a response
  */
 enum cm_request_state {
 	CM_REQUEST_NONE,
 	CM_REQUEST_WAITING,
+	CM_REQUEST_SHORT,
 	CM_REQUEST_REJECTED,
 	CM_REQUEST_ANSWERED,
 };
@@ -56,6 +60,16 @@
  */
 bool cm_flow_request_acknowledge(struct cm_flow_request *request, uint32_t ack);
 
+/**
+ * cm_flow_request_end() - handle the end of a request
+ * @request: the request
+ *
+ * To be called when the flow ends or its next request begins.
+ *
+ * Return: true when the request ended as a rejection; once for a request.
+ */
+bool cm_flow_request_end(struct cm_flow_request *request);
+
 /**
  * cm_flow_request_is_next() - whether a data packet begins a request
  * @request: the latest request; cm_flow_request_acknowledge() was called for
--- a/src/core/steer_admission.c
+++ b/src/core/steer_admission.c
@@ -451,24 +451,38 @@
 /* Records the response that an acknowledgment may complete. */
 static void observe_ack(struct cm_steer *steer, uint64_t now_ms,
 			const struct cm_steer_packet *packet,
+			const struct cm_admission_service *service,
+			struct cm_route_demand *route,
+			struct cm_flow_request *request)
+{
+	if (!(packet->flags & CM_STEER_ACK) ||
+	    !cm_flow_request_acknowledge(request, packet->ack))
+		return;
+	if (!request->began_ms || request->state != CM_REQUEST_ANSWERED)
+		return;
+	cm_route_demand_answered(
+		route, now_ms, (uint32_t)(steer->active_ms - request->began_ms),
+		cm_admission_is_calm(&service->admission));
+}
+
+/*
+ * Records a rejection if the packet ends a request with a short response. Data
+ * of an upload may follow an interim response and shows no end.
+ */
+static void observe_end(uint64_t now_ms, const struct cm_steer_packet *packet,
 			struct cm_admission_service *service,
 			struct cm_route_demand *route,
 			struct cm_steer_flow *flow)
 {
 	struct cm_flow_request *request = &flow->request;
+	bool is_next = packet->data_length &&
+		       route->traits.kind != CM_ROUTE_UPLOAD &&
+		       cm_flow_request_is_next(request, packet->ack);
 
-	if (!(packet->flags & CM_STEER_ACK) ||
-	    !cm_flow_request_acknowledge(request, packet->ack))
-		return;
-	if (!request->began_ms)
+	if (!is_next && !(packet->flags & (CM_STEER_FIN | CM_STEER_RST)))
 		return;
-	if (request->state == CM_REQUEST_ANSWERED) {
-		cm_route_demand_answered(
-			route, now_ms,
-			(uint32_t)(steer->active_ms - request->began_ms),
-			cm_admission_is_calm(&service->admission));
+	if (!cm_flow_request_end(request) || !request->began_ms)
 		return;
-	}
 	cm_route_demand_rejected(route, now_ms);
 	cm_admission_server_rejected(&service->admission, now_ms, flow->token);
 }
@@ -563,7 +577,8 @@
 	 */
 	if (flow->has_request && !flow->request.count)
 		cm_flow_request_begin(&flow->request, 0, flow->last_ack);
-	observe_ack(steer, now_ms, packet, service, route, flow);
+	observe_ack(steer, now_ms, packet, service, route, &flow->request);
+	observe_end(now_ms, packet, service, route, flow);
 	if (packet->data_length &&
 	    cm_flow_request_is_next(&flow->request, packet->ack))
 		is_admitted = admit_data(steer, now_ms, packet, service, route,
--- a/tests/unit/test_steer_requests.c
+++ b/tests/unit/test_steer_requests.c
@@ -147,6 +147,50 @@
 			 CM_STEER_FORWARD);
 }
 
+/* Ends of a request whose response is as short as an error so far. */
+static const struct {
+	const char *what;
+	enum cm_route_kind kind;
+	uint8_t flags;
+	uint32_t data_length;
+	uint32_t rejected;
+} short_ends[] = {
+	{ "acknowledgment", CM_ROUTE_IDEMPOTENT, CM_STEER_ACK, 0, 0 },
+	{ "FIN", CM_ROUTE_IDEMPOTENT, CM_STEER_ACK | CM_STEER_FIN, 0, 1 },
+	{ "RST", CM_ROUTE_IDEMPOTENT, CM_STEER_RST, 0, 1 },
+	{ "next request", CM_ROUTE_IDEMPOTENT, CM_STEER_ACK, 100, 1 },
+	{ "interim response to an upload", CM_ROUTE_UPLOAD, CM_STEER_ACK, 100,
+	  0 },
+};
+
+static uint32_t rejected_count(void)
+{
+	struct cm_admission *admission =
+		&steering.admissions.items[0].admission;
+	const struct cm_endpoint bulk = { BULK_ADDRESS, 443, 6 };
+	struct cm_demand_count count;
+
+	cm_route_demand_count(cm_admission_find_route(admission, &bulk),
+			      steering_ms, CM_DEMAND_RECENT_WINDOWS, &count);
+	return count.rejected;
+}
+
+/* A header that is acknowledged before the body is sent must not count as a
+ * rejection, and a rejection must count once. */
+TEST_TABLE(short_response_is_a_rejection_only_at_its_end, short_ends)
+{
+	open_flow(short_ends[_i].kind);
+	send_packet(CM_STEER_ACK, 100);
+	steering_advance(50);
+	ack += 100;
+	send_packet(CM_STEER_ACK, 0);
+	for (int i = 0; i < 2; i++)
+		send_packet(short_ends[_i].flags, short_ends[_i].data_length);
+	steering_advance(100);
+	ck_assert_msg(rejected_count() == short_ends[_i].rejected, "%s: %u",
+		      short_ends[_i].what, rejected_count());
+}
+
 /* The first request of a flow was admitted with its SYN. */
 TEST(request_of_an_admitted_syn_is_forwarded)
 {
