Return the limit to the capacity at few requests

Cause: an instance with fewer than 8 responses in 500 ms kept a limit that had been lowered to half the capacity, since the limit rises only on responses. Change: without rejections such a limit returns to the capacity and no further.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -290,6 +290,11 @@
 	return a > b ? a : b;
 }
 
+static uint64_t min_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
 static int64_t burst(const struct cm_admission *admission)
 {
 	return (int64_t)(admission->limit / MS_PER_S * BURST_MS);
@@ -335,17 +340,25 @@
 
 /*
  * Too few responses don't show that servers have free slots: servers that don't
- * answer at all reject nothing either.
+ * answer at all reject nothing either. Then the limit only returns to the
+ * capacity: an instance that sees few requests would else stay at its minimum.
  */
 static void raise_limit(struct cm_admission *admission)
 {
 	const struct cm_admission_evidence *evidence = &admission->evidence;
-
-	if (evidence->answered < ANSWERED_MIN)
+	uint64_t raised =
+		admission->limit + admission->limit / RAISE_FAST_DIVISOR;
+
+	if (evidence->answered < ANSWERED_MIN) {
+		if (!evidence->rejected)
+			admission->limit =
+				max_u64(admission->limit,
+					min_u64(raised, admission->capacity));
 		return;
+	}
 	if (evidence->slowness_per_mille < FAST_PER_MILLE &&
 	    !evidence->rejected)
-		admission->limit += admission->limit / RAISE_FAST_DIVISOR;
+		admission->limit = raised;
 	else if (evidence->slowness_per_mille < RAISE_PER_MILLE)
 		admission->limit += admission->limit / RAISE_DIVISOR;
 }
