Keep long requests from blocking the first priority

Cause: an admitted request of a lower priority whose work is seconds took the common credit far below zero, so that the highest priority was refused for longer than a caller sends SYNs. Change: a lower priority leaves the common credit at minus one burst or more and owes the rest. It takes no common credit until the debt is paid from its reserve or from credit that is left over, so that slots don't idle meanwhile. Ruled out: charging the rest to the reserve itself, as a usual request also takes the reserve below zero and would then be kept from free credit.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -310,6 +310,7 @@
 	admission->credit = -BACKLOG_BURSTS * burst(admission);
 	admission->refilled_ms = now_ms;
 	memset(admission->reserve, 0, sizeof(admission->reserve));
+	memset(admission->debt, 0, sizeof(admission->debt));
 	admission->reset_credit = 0;
 }
 
@@ -455,6 +456,29 @@
 	return value < max ? value : max;
 }
 
+/* Return: what is left of @paid. */
+static int64_t pay_debt(struct cm_admission *admission, uint32_t rank,
+			int64_t paid)
+{
+	int64_t used = limited(admission->debt[rank], paid);
+
+	admission->debt[rank] -= used;
+	return paid - used;
+}
+
+/* Credit that nobody has used for a burst pays debts, the higher ranks first.
+ */
+static void add_credit(struct cm_admission *admission, int64_t added)
+{
+	int64_t max = burst(admission);
+	int64_t surplus = admission->credit + added - max;
+
+	admission->credit = limited(admission->credit + added, max);
+	for (uint32_t rank = 1; surplus > 0 && rank < admission->rank_count;
+	     rank++)
+		surplus = pay_debt(admission, rank, surplus);
+}
+
 /*
  * Each rank but the first keeps its reserve of the limit; what it doesn't use
  * goes to all.
@@ -475,15 +499,15 @@
 		int64_t max = (int64_t)(admission->limit / RESERVE_DIVISOR *
 					RESERVE_SAVED_MS / MS_PER_S);
 		int64_t kept =
-			limited(reserved, max - admission->reserve[rank]);
+			limited(reserved, max - admission->reserve[rank] +
+						  admission->debt[rank]);
 
 		if (kept < 0)
 			kept = 0;
-		admission->reserve[rank] += kept;
+		admission->reserve[rank] += pay_debt(admission, rank, kept);
 		added -= kept;
 	}
-	admission->credit =
-		limited(admission->credit + added, burst(admission));
+	add_credit(admission, added);
 }
 
 /* Time that a response is expected to take now, ms. */
@@ -535,6 +559,22 @@
 	return least + order * step / AGE_DIVISOR;
 }
 
+/*
+ * A lower rank leaves the credit at minus one burst or more, and owes the rest:
+ * a request of seconds would otherwise block the first rank for longer than its
+ * callers send SYNs.
+ */
+static void charge(struct cm_admission *admission, uint32_t rank, int64_t work)
+{
+	int64_t room = admission->credit + burst(admission);
+	int64_t owed = 0;
+
+	if (rank)
+		owed = work - limited(work, room > 0 ? room : 0);
+	admission->credit -= work - owed;
+	admission->debt[rank] += owed;
+}
+
 static bool take_credit(struct cm_admission *admission,
 			const struct cm_admission_request *request)
 {
@@ -545,10 +585,11 @@
 		admission->reserve[rank] -= work;
 		return true;
 	}
-	if (admission->credit <
-	    least_credit(admission, rank, age_order(admission, request)))
+	if (admission->debt[rank] > 0 ||
+	    admission->credit < least_credit(admission, rank,
+					     age_order(admission, request)))
 		return false;
-	admission->credit -= work;
+	charge(admission, rank, work);
 	return true;
 }
 
