--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -248,7 +248,7 @@
 }
 
 /*
- * The recent demand shows the begin of a surge sooner, and the demand of the
+ * The recent demand shows the start of a surge sooner, and the demand of the
  * last second shows a small excess more clearly.
  */
 static bool is_exceeded(const struct cm_admission *admission)
