--- a/include/chervilmast/admission.h
+++ b/include/chervilmast/admission.h
@@ -66,8 +66,6 @@
  * @credit: work that may be admitted now, us; negative when the higher
  *          priorities have taken more than was due
  * @reserve: work that may be admitted now for each rank but the first, us
- * @debt: work that each rank but the first has taken beyond the credit, us; it
- *        is paid from the rank's reserve and from credit that is left over
  * @reset_credit: thousandths of resets that may be sent now
  * @updated_ms: when the state was last updated, ms; 0 for never
  * @counted_ms: since when requests are counted without a pause, ms
@@ -91,7 +89,6 @@
 	struct cm_admission_evidence evidence;
 	int64_t credit;
 	int64_t reserve[CM_ADMISSION_RANKS_MAX];
-	int64_t debt[CM_ADMISSION_RANKS_MAX];
 	uint32_t reset_credit;
 	uint64_t updated_ms;
 	uint64_t counted_ms;
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -248,7 +248,7 @@
 }
 
 /*
- * The recent demand shows the start of a surge sooner, and the demand of the
+ * The recent demand shows the begin of a surge sooner, and the demand of the
  * last second shows a small excess more clearly.
  */
 static bool is_exceeded(const struct cm_admission *admission)
@@ -290,11 +290,6 @@
 	return a > b ? a : b;
 }
 
-static uint64_t min_u64(uint64_t a, uint64_t b)
-{
-	return a < b ? a : b;
-}
-
 static int64_t burst(const struct cm_admission *admission)
 {
 	return (int64_t)(admission->limit / MS_PER_S * BURST_MS);
@@ -310,7 +305,6 @@
 	admission->credit = -BACKLOG_BURSTS * burst(admission);
 	admission->refilled_ms = now_ms;
 	memset(admission->reserve, 0, sizeof(admission->reserve));
-	memset(admission->debt, 0, sizeof(admission->debt));
 	admission->reset_credit = 0;
 }
 
@@ -341,25 +335,17 @@
 
 /*
  * Too few responses don't show that servers have free slots: servers that don't
- * answer at all reject nothing either. Then the limit only returns to the
- * capacity: an instance that sees few requests would else stay at its minimum.
+ * answer at all reject nothing either.
  */
 static void raise_limit(struct cm_admission *admission)
 {
 	const struct cm_admission_evidence *evidence = &admission->evidence;
-	uint64_t raised =
-		admission->limit + admission->limit / RAISE_FAST_DIVISOR;
-
-	if (evidence->answered < ANSWERED_MIN) {
-		if (!evidence->rejected)
-			admission->limit =
-				max_u64(admission->limit,
-					min_u64(raised, admission->capacity));
+
+	if (evidence->answered < ANSWERED_MIN)
 		return;
-	}
 	if (evidence->slowness_per_mille < FAST_PER_MILLE &&
 	    !evidence->rejected)
-		admission->limit = raised;
+		admission->limit += admission->limit / RAISE_FAST_DIVISOR;
 	else if (evidence->slowness_per_mille < RAISE_PER_MILLE)
 		admission->limit += admission->limit / RAISE_DIVISOR;
 }
@@ -456,29 +442,6 @@
 	return value < max ? value : max;
 }
 
-/* Return: what is left of @paid. */
-static int64_t pay_debt(struct cm_admission *admission, uint32_t rank,
-			int64_t paid)
-{
-	int64_t used = limited(admission->debt[rank], paid);
-
-	admission->debt[rank] -= used;
-	return paid - used;
-}
-
-/* Credit that nobody has used for a burst pays debts, the higher ranks first.
- */
-static void add_credit(struct cm_admission *admission, int64_t added)
-{
-	int64_t max = burst(admission);
-	int64_t surplus = admission->credit + added - max;
-
-	admission->credit = limited(admission->credit + added, max);
-	for (uint32_t rank = 1; surplus > 0 && rank < admission->rank_count;
-	     rank++)
-		surplus = pay_debt(admission, rank, surplus);
-}
-
 /*
  * Each rank but the first keeps its reserve of the limit; what it doesn't use
  * goes to all.
@@ -499,15 +462,15 @@
 		int64_t max = (int64_t)(admission->limit / RESERVE_DIVISOR *
 					RESERVE_SAVED_MS / MS_PER_S);
 		int64_t kept =
-			limited(reserved, max - admission->reserve[rank] +
-						  admission->debt[rank]);
+			limited(reserved, max - admission->reserve[rank]);
 
 		if (kept < 0)
 			kept = 0;
-		admission->reserve[rank] += pay_debt(admission, rank, kept);
+		admission->reserve[rank] += kept;
 		added -= kept;
 	}
-	add_credit(admission, added);
+	admission->credit =
+		limited(admission->credit + added, burst(admission));
 }
 
 /* Time that a response is expected to take now, ms. */
@@ -559,22 +522,6 @@
 	return least + order * step / AGE_DIVISOR;
 }
 
-/*
- * A lower rank leaves the credit at minus one burst or more, and owes the rest:
- * a request of seconds would otherwise block the first rank for longer than its
- * callers send SYNs.
- */
-static void charge(struct cm_admission *admission, uint32_t rank, int64_t work)
-{
-	int64_t room = admission->credit + burst(admission);
-	int64_t owed = 0;
-
-	if (rank)
-		owed = work - limited(work, room > 0 ? room : 0);
-	admission->credit -= work - owed;
-	admission->debt[rank] += owed;
-}
-
 static bool take_credit(struct cm_admission *admission,
 			const struct cm_admission_request *request)
 {
@@ -585,11 +532,10 @@
 		admission->reserve[rank] -= work;
 		return true;
 	}
-	if (admission->debt[rank] > 0 ||
-	    admission->credit < least_credit(admission, rank,
-					     age_order(admission, request)))
+	if (admission->credit <
+	    least_credit(admission, rank, age_order(admission, request)))
 		return false;
-	charge(admission, rank, work);
+	admission->credit -= work;
 	return true;
 }
 
