Keep long flows in their failure domain while a slot is free there

The estimate from own flows made servers of the own domain cost more than those of another one, whose load an instance knows in part only, so long flows went there.

Change: while the known load of a server of the own domain leaves a slot free, its cost for a long flow stays below that of another domain. The call in the random faults of the process tests follows the changed stand-in.

Requests on flows that cross domains for other reasons still fail.

--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -288,6 +288,21 @@
 		       PER_MILLE * mean;
 }
 
+/*
+ * Load per slot that a long flow counts for a server of the own failure domain,
+ * thousandths. While the known load leaves a slot free, it stays below the cost
+ * of another failure domain: the loads of servers there are known in part only
+ * and look small, and a long flow to them ends when the domains are cut off.
+ */
+static uint64_t long_flow_load(uint64_t known, uint64_t estimate)
+{
+	uint64_t mean =
+		(known + ESTIMATE_WEIGHT * estimate) / (1 + ESTIMATE_WEIGHT);
+
+	return known < PER_MILLE && mean >= REMOTE_COST ? REMOTE_COST - 1 :
+							  mean;
+}
+
 /*
  * Load per slot of a server, thousandths. Of a server in another failure domain
  * only the loads of the instances in this one are known, so they are a lower
@@ -312,8 +327,7 @@
 	if (server->domain_hash != steer->domain_hash)
 		return greater(known, estimate);
 	if (context->choice->is_long)
-		return (known + ESTIMATE_WEIGHT * estimate) /
-		       (1 + ESTIMATE_WEIGHT);
+		return long_flow_load(known, estimate);
 	single = estimated_load(server, steer, context, load->own_single);
 	return is_clearly_more(server, known, context) ?
 		       greater(known, single) :
--- a/tests/process/main.c
+++ b/tests/process/main.c
@@ -131,7 +131,7 @@
 {
 	platform_standin_go_back(&store,
 				 fake_random_below(&rng, GO_BACK_SPAN_MS));
-	platform_standin_take_leases(&store, 4);
+	platform_standin_take_leases(&store);
 	write_again_ms = now_ms() + WRITE_AGAIN_MS;
 	fault_extend(write_again_ms + MS_PER_S);
 }
