Clarify comments and names of the overload, load and gone-server code

Cause: a reader new to this code met doc comments without units, or wrong ones: the periods of the admission evidence, the errors of cm_load_table_report(), the route whose priority struct target_state holds, and a constant, DUPLICATE_MAX_MS, that no code used. Some lines were badly wrapped, and some names of static functions said little.

Ruled out: a rule behind DUPLICATE_MAX_MS (100 ms, half of the first retransmission interval): copies of a packet count only from CM_DATA_STALL_MS on, which excludes duplicates made by the network, too. The comment of record_copy() says so now.

Change: comments, four static functions and one local variable renamed within their files, and the unused constant removed. No change of behaviour.

--- a/include/chervilmast/admission.h
+++ b/include/chervilmast/admission.h
@@ -9,7 +9,8 @@
  * estimate does not refuse requests for which servers have room.
  *
  * Capacity, demand and limit are in us of work per second: a server with one
- * slot has 1,000,000.
+ * slot has 1,000,000. A rank is the position of a priority among the priorities
+ * of the service's routes; rank 0 is the highest priority.
  */
 #ifndef CHERVILMAST_ADMISSION_H
 #define CHERVILMAST_ADMISSION_H
@@ -30,16 +31,21 @@
 
 /**
  * struct cm_admission_evidence - what an update has seen
- * @demand: work of the requests that started in the last second
- * @recent_demand: work of the recent requests
- * @completed: work of the requests that were answered in the last second
- * @started: number of requests that started in the last second
- * @recent_started: number of recent requests
- * @answered: number of recent responses other than rejections
- * @rejected: number of recent rejections
- * @slowness_per_mille: mean of the recent response times, thousandths of the
- *                      usual ones; 0 for none
- * @is_slow: the recent response times show an overload
+ * @demand: work of the requests that started in the last second, us per second
+ * @recent_demand: work of the requests that started in the last three windows
+ *                 of CM_DEMAND_WINDOW_MS, us per second
+ * @completed: work of the requests that were answered in the last second, us
+ *             per second
+ * @started: number of requests in @demand
+ * @recent_started: number of requests in @recent_demand
+ * @answered: number of responses other than rejections in the last
+ *            CM_DEMAND_RECENT_WINDOWS windows
+ * @rejected: number of rejections in these windows
+ * @slowness_per_mille: mean response time of @answered, thousandths of the
+ *                      usual one; 0 for too few responses
+ * @is_slow: these response times show an overload
+ *
+ * All but @rejected cover only routes for which the work of a request is known.
  */
 struct cm_admission_evidence {
 	uint64_t demand;
@@ -60,12 +66,13 @@
  * @priorities: the different priorities of @routes, highest first
  * @rank_count: number of @priorities
  * @is_overloaded: requests are admitted up to @limit
- * @capacity: estimated capacity; 0 when unknown
- * @limit: work that is admitted, while overloaded
+ * @capacity: estimated capacity, us of work per second; 0 when unknown
+ * @limit: work that is admitted while overloaded, us per second
  * @evidence: result of the last update
  * @credit: work that may be admitted now, us; negative when the higher
  *          priorities have taken more than was due
- * @reserve: work that may be admitted now for each rank but the first, us
+ * @reserve: work that may be admitted now for each rank but the first, us;
+ *           negative after a request that needed more than was left
  * @reset_credit: thousandths of resets that may be sent now
  * @updated_ms: when the state was last updated, ms; 0 for never
  * @counted_ms: since when requests are counted without a pause, ms
@@ -75,8 +82,9 @@
  * @covered_ms: since when demand is clearly covered, ms; 0 when it is not
  * @overloaded_ms: when the overload began, ms
  * @rejecting: token of the server that rejected last
- * @rejecting_ms: when @rejecting last rejected, ms
- * @rejecting_others_ms: when another server last rejected, ms
+ * @rejecting_ms: when @rejecting last rejected, ms; 0 for never
+ * @rejecting_others_ms: when a server other than @rejecting last rejected, ms;
+ *                       0 for never
  */
 struct cm_admission {
 	struct cm_route_demand routes[CM_ADMISSION_ROUTES_MAX];
@@ -138,6 +146,8 @@
  * @admission: the admission
  * @route: the route
  * @now_ms: current time, ms
+ *
+ * A route beyond CM_ADMISSION_ROUTES_MAX is not added and not limited.
  */
 void cm_admission_add_route(struct cm_admission *admission,
 			    const struct cm_plan_route *route, uint64_t now_ms);
@@ -195,7 +205,8 @@
  * cm_admission_update() - begin or end the overload and adapt the limit
  * @admission: the admission
  * @now_ms: current time, ms
- * @capacity: estimated capacity of this instance; 0 when unknown
+ * @capacity: estimated capacity of this instance, us of work per second; 0 when
+ *            unknown
  *
  * After CM_ADMISSION_PAUSE_MS without a call, the process was paused: the
  * packets that waited arrive at once and are no measure of demand. Then all
--- a/include/chervilmast/data_watch.h
+++ b/include/chervilmast/data_watch.h
@@ -8,9 +8,9 @@
  * are examined, also of those that are not in the flow table.
  *
  * The first retransmission does not count as stalled. It often follows from a
- * lost packet or a slow response: in tests/unit/test_gone_load.c it made
- * instances reset 27 to 153 flows of servers that were only full, the second
- * one none.
+ * lost packet or a slow response: in tests/unit/test_gone_load.c, instances
+ * that counted it reset 27 to 153 flows of servers that were only full, and
+ * none when they counted from the second one on.
  */
 #ifndef CHERVILMAST_DATA_WATCH_H
 #define CHERVILMAST_DATA_WATCH_H
@@ -21,8 +21,8 @@
 #include "chervilmast/steer_packet.h"
 
 /**
- * Time after the first transmission of data from which its retransmission
- * counts, ms; between the first and the second one.
+ * Minimum time from the first transmission of data to a retransmission that
+ * counts, ms; between the times of the first and the second retransmission.
  */
 #define CM_DATA_STALL_MS 500
 /** Time for which a retransmission counts as an observation, ms. */
--- a/include/chervilmast/down_list.h
+++ b/include/chervilmast/down_list.h
@@ -17,7 +17,7 @@
 
 /** Maximum number of servers in the list. */
 #define CM_DOWN_LIST_MAX CM_MESSAGE_TOKENS_MAX
-/** Number of reporting instances at which a server may count as down. */
+/** Number of reporting instances at which a server counts as down. */
 #define CM_DOWN_REPORTERS 2
 
 /**
--- a/include/chervilmast/flow_request.h
+++ b/include/chervilmast/flow_request.h
@@ -3,9 +3,9 @@
  *
  * A request begins with the caller's first data packet, or with its first data
  * packet after the response to the previous request. It is answered when the
- * caller acknowledges a response that is longer than an error, and rejected
- * when it ends before that: a header may be acknowledged before the body is
- * sent.
+ * caller acknowledges a response that is longer than an error. It is rejected
+ * when it ends with a shorter one; an acknowledged short response alone shows
+ * no rejection, as a header may be acknowledged before the body is sent.
  */
 #ifndef CHERVILMAST_FLOW_REQUEST_H
 #define CHERVILMAST_FLOW_REQUEST_H
@@ -35,7 +35,8 @@
  * @count: number of requests on the flow
  * @is_counted: the request of the flow's SYN was counted and admitted, so that
  *              its first data packet is not decided on
- * @began_ms: when it began, by the active clock, ms; 0 when unknown
+ * @began_ms: when it began, by the active clock (@active_ms of struct
+ *            cm_steer), ms; 0 when unknown
  * @first_ack: acknowledgment number when it began
  * @last_ack: latest acknowledgment number
  * @deferred_ms: when the first data packet of a request that is not admitted
--- a/include/chervilmast/load_table.h
+++ b/include/chervilmast/load_table.h
@@ -4,8 +4,8 @@
  * Each instance reports to the source (see feed_choice.h) the load that its own
  * flows put on each server. The source keeps the reports by instance and sends
  * each instance the sums over all others. The loads of an instance expire when
- * it has sent no report for CM_LOAD_REPORT_TTL_MS, and are removed when it
- * leaves the members. Memory is allocated only where reports arrive.
+ * it has sent no report for CM_LOAD_REPORT_TTL_MS, and are removed when it is
+ * no longer a member. Memory is allocated only where reports arrive.
  */
 #ifndef CHERVILMAST_LOAD_TABLE_H
 #define CHERVILMAST_LOAD_TABLE_H
@@ -109,8 +109,9 @@
  * @now_ms: current time, ms
  * @report: the report
  *
- * Return: 0, CM_E_MEMORY, or CM_E_TOO_LARGE when there are
- * CM_LOAD_TABLE_INSTANCES_MAX instances.
+ * Return: 0, CM_E_MEMORY, or CM_E_TOO_LARGE when there is no room for the
+ * instance or for one of the servers; the loads after that server are then not
+ * recorded.
  */
 int cm_load_table_report(struct cm_load_table *table, uint64_t now_ms,
 			 const struct cm_load_report *report);
@@ -138,11 +139,11 @@
  * @except: name of the instance whose loads are left out
  * @members: number of instances in the failure domain
  * @sums: set to the sums of up to CM_LOAD_LIST_MAX servers, in turn, but no
- *        more than CM_LOADS_PER_S a second; empty when too few instances have
- *        reported all of their loads
+ *        more than CM_LOADS_PER_S a second; empty when @except has not reported
+ *        or too few others have reported all of their loads
  *
  * Return: age of the sums, ms: the time since the last report of another
- * instance.
+ * instance; 0 when no sums were made.
  */
 uint64_t cm_load_table_sum(struct cm_load_table *table, uint64_t now_ms,
 			   const char *except, uint32_t members,
--- a/include/chervilmast/route_demand.h
+++ b/include/chervilmast/route_demand.h
@@ -42,13 +42,15 @@
  * @traits: properties of the route's requests
  * @objective_ms: latency objective, ms; 0 when none is set
  * @windows: counts by window, at the window's number modulo CM_DEMAND_WINDOWS
- * @window_number: number of the latest window
+ * @window_number: number of the latest window: its time divided by
+ *                 CM_DEMAND_WINDOW_MS
  * @since_ms: when counting began, ms
- * @work_us: work of a request, estimated as a low percentile of the response
+ * @work_us: work of a request, estimated as the lower quartile of the response
  *           times, us
  * @usual_us: smoothed response time without overload, us
  * @samples: number of response times so far, up to CM_DEMAND_SAMPLES_MIN
- * @long_per_mille: smoothed share of flows that carry a second request
+ * @long_per_mille: smoothed share of flows that carry a second request,
+ *                  thousandths
  */
 struct cm_route_demand {
 	struct cm_endpoint address;
--- a/include/chervilmast/server_load.h
+++ b/include/chervilmast/server_load.h
@@ -21,7 +21,7 @@
 #define CM_LOAD_SLOT 1000
 /** Maximum number of routes with a record; further ones share records. */
 #define CM_ROUTE_LOADS_MAX 512
-/** Age from which the load known of other instances is not used, ms. */
+/** Age from which the loads of other instances are not used, ms. */
 #define CM_SERVER_LOAD_STALE_MS 3000
 
 /**
@@ -50,7 +50,7 @@
 /**
  * struct cm_route_load - flows of a route, as this instance observes them
  * @address: address of the route; port 0 for a free record
- * @samples: number of flows in @long_per_mille, at most UINT32_MAX
+ * @samples: number of flows in @long_per_mille; stays at UINT32_MAX
  * @long_per_mille: smoothed share of the flows that carry a second request,
  *                  thousandths
  * @interval_ms_eighths: smoothed time from one request of a flow to the next,
@@ -135,7 +135,7 @@
 
 /**
  * cm_server_load_acked() - record an acknowledgment number of a flow's caller
- * @flow: the flow
+ * @flow: the flow; its @last_ack is already that of the packet
  * @active_ms: current time by the active clock, ms
  * @has_data: the packet carries data too
  */
--- a/include/chervilmast/server_pool.h
+++ b/include/chervilmast/server_pool.h
@@ -52,8 +52,8 @@
  * @slots: sum of their slots, the requests that they process concurrently
  * @ejected_count: number of usable servers that are ejected
  * @local_count: number of usable servers in the instance's failure domain
- * @known_count: number of these of which the loads caused by other instances
- * are known
+ * @known_count: number of these for which the loads caused by other instances
+ *               are known
  * @known_load: sum of the loads of these servers, thousandths of a slot
  * @known_slots: sum of their slots
  */
--- a/include/chervilmast/steer_admission.h
+++ b/include/chervilmast/steer_admission.h
@@ -2,7 +2,7 @@
  * DOC: Services whose requests an instance admits by priority under overload
  *
  * These are the services to which routes of different priorities send flows.
- * For all other services, this table is empty and changes nothing.
+ * Other services are not in the table and not limited.
  */
 #ifndef CHERVILMAST_STEER_ADMISSION_H
 #define CHERVILMAST_STEER_ADMISSION_H
@@ -12,7 +12,7 @@
 #include "chervilmast/admission.h"
 #include "chervilmast/note.h"
 
-/** Maximum number of such services; further ones are not limited. */
+/** Maximum number of services in the table; further ones are not limited. */
 #define CM_ADMISSION_SERVICES_MAX 16
 /** Maximum number of reports kept until they are logged. */
 #define CM_ADMISSION_REPORTS_MAX 32
@@ -20,7 +20,7 @@
 /**
  * enum cm_admission_report_kind - why a report is made
  * @CM_ADMISSION_BEGAN: an overload began
- * @CM_ADMISSION_LASTS: an overload lasts; made once in a second
+ * @CM_ADMISSION_LASTS: an overload lasts; made once a second
  * @CM_ADMISSION_ENDED: an overload ended
  */
 enum cm_admission_report_kind {
--- a/include/chervilmast/steer_change.h
+++ b/include/chervilmast/steer_change.h
@@ -54,7 +54,7 @@
  * @token: token of the server
  * @unanswered_syns: consecutive SYNs, to any servers, that were not answered
  * @waited_ms: time since the SYN, ms, for FLOW_FAILED; age of the loads, ms,
- * for LOADS_KNOWN and LOADS_UNKNOWN
+ *             for LOADS_KNOWN and LOADS_UNKNOWN
  * @bytes: bytes of the response that the caller acknowledged, for FLOW_FAILED
  * @at_ms: time of the change, ms
  */
--- a/include/chervilmast/steer_explain.h
+++ b/include/chervilmast/steer_explain.h
@@ -174,7 +174,7 @@
  * @now_ms: current time, ms
  * @route: address of the route
  * @avoid_token: token of the server that did not answer the flow's first SYN,
- * to explain the second SYN; 0 to explain a first SYN
+ *               to explain the second SYN; 0 to explain a first SYN
  * @explanation: set on success
  *
  * Return: 0, CM_E_UNKNOWN_ROUTE when the plan has no such route,
--- a/include/chervilmast/steer_flow.h
+++ b/include/chervilmast/steer_flow.h
@@ -43,7 +43,7 @@
  * @route: record of its route
  * @requests: number of requests that the caller has sent
  * @is_request_open: the caller has sent a request and acknowledged nothing
- * since
+ *                   since
  * @request_began_ms: when the last request began, by the active clock, ms
  * @acked_ms: when the caller last acknowledged new data without sending any, by
  *            the active clock, ms; 0 when not known
--- a/include/chervilmast/steer_gone.h
+++ b/include/chervilmast/steer_gone.h
@@ -19,7 +19,7 @@
 #include "chervilmast/steer_server.h"
 
 /**
- * Number of failure domains whose registered servers are kept counted; a
+ * Number of failure domains for which counts of servers are cached; a
  * deployment has 3.
  */
 #define CM_STEER_GONE_DOMAINS 4
@@ -59,13 +59,13 @@
 /**
  * struct cm_steer_gone - state for decisions on servers that are gone
  * @must_renew: no registry data was received since the last pause of the
- * process
- * @renewed_from_ms: the data must have been current at this time or later, as
- * it was outdated by a long pause, ms
+ *              process
+ * @renewed_from_ms: end of the last long pause, ms; 0 for none. Registry data
+ *                   counts only if it was current at this time or later.
  * @domains: counted failure domains, by hash of the name
  * @down: servers that the source lists as down
- * @stalled: servers to which data was retransmitted, also longer ago than
- *           counts
+ * @stalled: servers to which data was retransmitted; those for which this no
+ *           longer counts are removed by cm_steer_gone_list_stalled()
  * @has_new_silent: there is more to report of a silent server
  */
 struct cm_steer_gone {
@@ -149,6 +149,9 @@
  * @server: the server that the packet's token identifies
  * @evidence: set to the evidence if there is any
  *
+ * Evidence on which this instance may not act is counted in
+ * CM_C_STEER_GONE_WITHHELD.
+ *
  * Return: true when there is evidence and this instance may act on it.
  */
 bool cm_steer_gone_check(struct cm_steer *steer, uint64_t now_ms,
--- a/include/chervilmast/steer_plan.h
+++ b/include/chervilmast/steer_plan.h
@@ -48,7 +48,7 @@
 /**
  * struct cm_route_traits - properties of the requests of a route
  * @kind: kind of the requests
- * @priority: rank under overload; 0 is the highest
+ * @priority: priority under overload; 0 is the highest
  * @timeout_ms: time after which a caller gives up a request, ms; 0 when not
  *              known
  */
--- a/include/chervilmast/steer_server.h
+++ b/include/chervilmast/steer_server.h
@@ -80,8 +80,8 @@
  * @choice_seq: sequence number of the last choice of the server
  * @health: health as this instance observes it
  * @watch: data that the server may not have acknowledged
- * @observations: number of observations by which it was silent at the last
- * tick, to be reported to the source
+ * @observations: number of kinds of evidence of its silence at the last tick,
+ *                to be reported to the source
  * @by_token: link in the bucket of its token
  * @by_id: link in the bucket of its id
  * @link: link in the list of all servers
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -9,7 +9,7 @@
 #define PER_MILLE 1000
 /**
  * Time for which requests must have been counted before demand is compared, ms.
- * After a pause, the packets that waited are no longer in the counts then.
+ * By then, packets that waited during a pause are no longer in the counts.
  */
 #define COUNTED_MS (CM_DEMAND_WINDOWS * CM_DEMAND_WINDOW_MS)
 /** Number of windows in which a surge of demand shows. */
@@ -27,22 +27,28 @@
  * Well below the objective, waiting costs callers nothing.
  */
 #define OBJECTIVE_DIVISOR 2
-/** Response time at which the limit is lowered, thousandths of the usual one.
+/**
+ * Response time above which the limit is lowered, thousandths of the usual one.
  */
 #define TOO_SLOW_PER_MILLE 3500
-/** Response time below which the limit is raised, thousandths of the usual. */
+/**
+ * Response time below which the limit is raised, thousandths of the usual one.
+ */
 #define RAISE_PER_MILLE 2500
 /**
- * Response time below which servers have free slots, thousandths of the usual.
+ * Response time below which servers have free slots, thousandths of the usual
+ * one.
  */
 #define FAST_PER_MILLE 1500
 /** Minimum number of responses for a mean that counts as evidence. */
 #define ANSWERED_MIN 8
 /** Minimum number of rejections that count as evidence. */
 #define REJECTED_MIN 3
-/** Share of rejections, of all responses, that counts as evidence. */
+/**
+ * Rejections count as evidence above this fraction of all responses; divisor.
+ */
 #define REJECTED_DIVISOR 20
-/** Time for which a server that rejected counts as one of several, ms. */
+/** Time for which the rejection of a second server counts, ms. */
 #define REJECTING_MS 1000
 /**
  * Divisors of the steps of the limit at an update. The limit is lowered slowly,
@@ -55,21 +61,27 @@
 #define LIMIT_MIN_DIVISOR 2
 /** Maximum of the limit, in multiples of the capacity or completed work. */
 #define LIMIT_MAX_FACTOR 2
-/** Part of the completed work by which the limit may be lower. */
+/** Fraction of the completed work by which the limit may be lower; divisor. */
 #define QUEUE_DIVISOR 4
-/** Time whose work may be admitted at once, ms; a fraction of an objective. */
+/**
+ * Length of a burst, ms: the work of the limit in this time may be admitted at
+ * once. A fraction of an objective.
+ */
 #define BURST_MS 100
 /** Maximum time for which credit is refilled at once, ms. */
 #define REFILL_MAX_MS 200
-/** Share of the limit that each lower priority keeps. */
+/** Fraction of the limit reserved for each rank but the first; divisor. */
 #define RESERVE_DIVISOR 10
-/** Time whose reserve may be saved up, ms. */
+/** Time for which an unused reserve is saved up, ms. */
 #define RESERVE_SAVED_MS 500
-/** Bursts that the first rank may take before they are refilled. */
+/** Bursts by which the first rank may overdraw the credit. */
 #define DEBT_BURSTS 3
-/** Bursts of work that wait at the servers when an overload begins. */
+/** Bursts of work assumed to wait at the servers when an overload begins. */
 #define BACKLOG_BURSTS 2
-/** Part of a burst that separates requests of a rank by their age. */
+/**
+ * Fraction of a burst by which the credit that is needed differs between
+ * neighbouring values of age_order(); divisor.
+ */
 #define AGE_DIVISOR 4
 /** Resets per admitted request, thousandths. */
 #define RESET_PER_MILLE 100
@@ -232,8 +244,9 @@
 }
 
 /*
- * Whether a demand exceeds capacity by more than a standard deviation of the
- * number of requests: an instance sees few requests.
+ * Whether a demand exceeds capacity by more than the standard deviation that
+ * follows from the number of requests, which is demand / sqrt(started): an
+ * instance sees few requests.
  */
 static bool exceeds_capacity(const struct cm_admission *admission,
 			     uint64_t demand_us, uint32_t started)
@@ -248,7 +261,7 @@
 }
 
 /*
- * The recent demand shows the begin of a surge sooner, and the demand of the
+ * The recent demand shows the start of a surge sooner, and the demand of the
  * last second shows a small excess more clearly.
  */
 static bool is_exceeded(const struct cm_admission *admission)
@@ -290,6 +303,7 @@
 	return a > b ? a : b;
 }
 
+/* Work of a burst, us. */
 static int64_t burst(const struct cm_admission *admission)
 {
 	return (int64_t)(admission->limit / MS_PER_S * BURST_MS);
@@ -443,8 +457,8 @@
 }
 
 /*
- * Each rank but the first keeps its reserve of the limit; what it doesn't use
- * goes to all.
+ * Adds the work that has become due. Each rank but the first gets its reserve
+ * until RESERVE_SAVED_MS of it are saved up; the rest is credit for all ranks.
  */
 static void refill(struct cm_admission *admission, uint64_t now_ms)
 {
@@ -485,6 +499,7 @@
 			  US_PER_MS);
 }
 
+/* Whether a time limit is met; 0 stands for no limit. */
 static bool is_within(uint32_t elapsed_ms, uint32_t needed_ms,
 		      uint32_t limit_ms)
 {
@@ -492,8 +507,8 @@
 }
 
 /*
- * Order of a request by age, lower first: 0 if it meets the objective only now,
- * 1 if also at its next transmission, 2 if it meets only its deadline.
+ * Order of a request by age, lower first: 0 if it meets the objective only when
+ * admitted now, 1 if also at its next transmission, 2 if it can't meet it.
  */
 static uint32_t age_order(const struct cm_admission *admission,
 			  const struct cm_admission_request *request)
@@ -508,7 +523,10 @@
 			 route->objective_ms);
 }
 
-/* Credit that must be left for a request to be admitted; differs by rank. */
+/*
+ * Minimum credit at which a request is admitted, us: from -DEBT_BURSTS bursts
+ * for the first rank in equal steps to 0 for the last one, and higher by age.
+ */
 static int64_t least_credit(const struct cm_admission *admission, uint32_t rank,
 			    uint32_t order)
 {
--- a/src/core/data_watch.c
+++ b/src/core/data_watch.c
@@ -2,15 +2,9 @@
 
 /**
  * Time for which a packet is remembered, ms: until its second retransmission,
- * with a margin for delays. Another packet may be remembered after it.
+ * with a margin for delays. Then another packet may take its place.
  */
 #define WATCH_MS 700
-/**
- * Minimum time between two copies of a packet for the second to be a
- * retransmission and not a duplicate made by the network, ms: half of the first
- * retransmission interval.
- */
-#define DUPLICATE_MAX_MS 100
 
 static bool is_after(uint32_t number, uint32_t other)
 {
@@ -49,7 +43,11 @@
 	place->sent_ms = now_ms;
 }
 
-/* Records another copy of a packet that was first forwarded at @sent_ms. */
+/*
+ * Records another copy of a packet that was first forwarded at @sent_ms. A copy
+ * before CM_DATA_STALL_MS is the first retransmission or a duplicate made by
+ * the network.
+ */
 static void record_copy(struct cm_data_watch *watch, uint64_t now_ms,
 			uint64_t sent_ms)
 {
--- a/src/core/down_list.c
+++ b/src/core/down_list.c
@@ -63,7 +63,10 @@
 	return false;
 }
 
-/* A server that the reporter no longer lists has answered it, or has left. */
+/*
+ * Removes the reporter's reports of servers that it no longer lists: such a
+ * server has answered it, or has left.
+ */
 static void withdraw(struct cm_down_list *list, uint64_t reporter,
 		     const struct cm_message_tokens *silent)
 {
--- a/src/core/load_table.c
+++ b/src/core/load_table.c
@@ -63,6 +63,10 @@
 	memset(table, 0, sizeof(*table));
 }
 
+/*
+ * Extends an array to at least @wanted elements of @size bytes; new ones are
+ * zeroed. @items points to the pointer to the array.
+ */
 static int reserve(void *items, uint32_t *capacity, uint32_t wanted,
 		   size_t size)
 {
--- a/src/core/route_demand.c
+++ b/src/core/route_demand.c
@@ -35,7 +35,7 @@
 	demand->since_ms = now_ms;
 }
 
-/* Clears the windows that have begun since the last event. */
+/* Returns the current window; clears those that began since the last event. */
 static struct cm_demand_count *current_window(struct cm_route_demand *demand,
 					      uint64_t now_ms)
 {
@@ -59,8 +59,8 @@
 
 /*
  * Under overload, longer times show waiting rather than work. Shorter times
- * always lower the estimates, so that an estimate that is too high, and lets
- * the capacity seem exceeded for that reason, is corrected.
+ * always lower the estimates: an estimate that is too high may itself make
+ * demand seem to exceed capacity, and must be corrected then.
  */
 static void update_estimates(struct cm_route_demand *demand, uint32_t took_us,
 			     bool is_calm)
--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -291,8 +291,10 @@
 /*
  * Load per slot of a server, thousandths. Of a server in another failure domain
  * only the loads of the instances in this one are known, so they are a lower
- * bound. For a flow with one request, the known loads replace the estimate from
- * own flows where they are clearly more; idle long flows are not estimated.
+ * bound. For a flow with one request, it is the estimate from own flows with
+ * one request, without long flows, which may be idle; the known load replaces
+ * the estimate if it is greater, and clearly more than that of the other
+ * servers.
  *
  * For a long flow it is a weighted mean of the known load and of the estimate.
  * The estimate makes each instance spread its own flows and limits how far all
--- a/src/core/server_load.c
+++ b/src/core/server_load.c
@@ -4,10 +4,12 @@
 #include "chervilmast/steer_server.h"
 #include "test_switch.h"
 
+/** Scale of the means in eighths of ms, and inverse weight of a sample. */
 #define EIGHTHS 8
 #define PER_MILLE 1000
 #define MS_PER_S 1000
-/** Share of long flows from which a route's flows count as long, thousandths.
+/**
+ * Share of long flows from which a route's flows count as long, thousandths.
  */
 #define LONG_PER_MILLE 500
 /** Records that are searched for a route before it shares the last of them. */
@@ -53,7 +55,7 @@
 	return route;
 }
 
-/* The first sample, when @mean is 0, sets the mean. */
+/* Adds a sample to a mean in eighths of ms; the first one, at 0, sets it. */
 static void smooth(uint32_t *mean, uint64_t sample_ms)
 {
 	uint32_t sample =
@@ -162,8 +164,11 @@
 	return CM_LOAD_SLOT;
 }
 
-/* Subtracts at most what is there: a token may pass on to another server. */
-static void change(uint32_t *sum, uint32_t from, uint32_t to)
+/*
+ * Replaces the share of a flow in a sum. Subtracts at most the sum, as the
+ * flow's token may have passed on to another server.
+ */
+static void replace_share(uint32_t *sum, uint32_t from, uint32_t to)
 {
 	*sum -= from < *sum ? from : *sum;
 	*sum += to;
@@ -172,10 +177,10 @@
 static void set_load(struct cm_steer_server *server, struct cm_steer_flow *flow,
 		     uint32_t load, uint32_t single)
 {
-	change(&server->load.own, flow->load, load);
-	change(&server->load.own_single, flow->single_load, single);
+	replace_share(&server->load.own, flow->load, load);
+	replace_share(&server->load.own_single, flow->single_load, single);
 	if (server->pool)
-		change(&server->pool->own_load, flow->load, load);
+		replace_share(&server->pool->own_load, flow->load, load);
 	flow->load = load;
 	flow->single_load = single;
 }
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -121,6 +121,7 @@
 	return packet->waited_ms >= LAST_SYN_TIMEOUT_MS;
 }
 
+/* Counts a flow that is open, or whose SYN was just sent, at its server. */
 static void count_flow(const struct cm_steer *steer, struct cm_steer_flow *flow,
 		       struct cm_steer_server *server)
 {
@@ -582,7 +583,7 @@
 {
 	struct cm_steer_gone_evidence evidence;
 	struct cm_steer_server *server;
-	struct cm_steer_packet seen;
+	struct cm_steer_packet delivered;
 	bool is_admitted;
 
 	if (!packet->token) {
@@ -598,14 +599,14 @@
 		set_verdict(verdict, CM_STEER_DROP, CM_C_DROP_DOMAIN_OUT);
 		return;
 	}
-	seen = *packet;
+	delivered = *packet;
 	is_admitted =
 		cm_steer_admit_packet(steer, now_ms, packet, server, verdict);
 	/* Data that does not reach the server is no request of the flow. */
 	if (!is_admitted)
-		seen.data_length = 0;
-	update_flow(steer, now_ms, &seen, server);
-	cm_steer_gone_record_packet(steer, now_ms, &seen, server);
+		delivered.data_length = 0;
+	update_flow(steer, now_ms, &delivered, server);
+	cm_steer_gone_record_packet(steer, now_ms, &delivered, server);
 	if (cm_steer_gone_check(steer, now_ms, packet, server, &evidence)) {
 		reset_gone_flow(steer, now_ms, packet, server, &evidence,
 				verdict);
--- a/src/core/steer_admission.c
+++ b/src/core/steer_admission.c
@@ -50,8 +50,8 @@
 
 /**
  * struct target_state - routes that send flows to a service of the plan
- * @priority: priority of the first of them
- * @has_route: there is one
+ * @priority: priority of the last one examined
+ * @has_route: there is at least one
  * @is_ranked: they have different priorities
  */
 struct target_state {
@@ -129,7 +129,7 @@
 	}
 }
 
-/* Removes the services to which the plan no longer applies this part. */
+/* Removes the services whose routes no longer have different priorities. */
 static void remove_old_services(struct cm_steer_admissions *admissions,
 				const struct cm_steer_plan *plan,
 				const struct target_state *states)
@@ -173,7 +173,7 @@
 	add_routes(&service->admission, plan, name_index, now_ms);
 }
 
-/* Without memory, no service is limited. */
+/* Updates the table to the plan. Without memory, no service is limited. */
 static void read_plan(struct cm_steer *steer, uint64_t now_ms)
 {
 	struct cm_steer_admissions *admissions = &steer->admissions;
@@ -216,7 +216,7 @@
 	return index < domains->count ? domains->items[index].instances : 0;
 }
 
-/* Instances of the failure domains that have no usable server. */
+/* Number of instances in failure domains that have no usable server. */
 static uint32_t instances_without_server(const struct cm_steer *steer,
 					 const struct cm_server_pool *pool,
 					 uint64_t now_ms)
@@ -234,8 +234,9 @@
 
 /*
  * Share of this instance in the slots of its failure domain, or of the others
- * if its own has no usable server. The instances of domains without a server
- * share in every domain. 0 when the share is not known.
+ * if its own has no usable server, us of work per second. The instances of
+ * domains without a server share in every domain. 0 when the share is not
+ * known.
  */
 static uint64_t own_capacity(const struct cm_steer *steer,
 			     const struct cm_server_pool *pool, uint64_t now_ms)
@@ -487,6 +488,7 @@
 	cm_admission_server_rejected(&service->admission, now_ms, flow->token);
 }
 
+/* Records a flow that ends after one request; see admit_data() for others. */
 static void observe_shape(const struct cm_steer_packet *packet,
 			  struct cm_route_demand *route,
 			  const struct cm_flow_request *request)
--- a/src/core/steer_admission.h
+++ b/src/core/steer_admission.h
@@ -8,7 +8,9 @@
 
 /**
  * enum cm_flow_admission - result of the decision on a new flow
- * @CM_FLOW_UNLIMITED: its SYN is no request, or there is no overload
+ * @CM_FLOW_UNLIMITED: its route is not limited, its SYN does not stand for a
+ *                     request as its route has long flows, or there is no
+ *                     overload
  * @CM_FLOW_ADMITTED: its request is admitted under overload and must not be
  *                    delayed any more
  * @CM_FLOW_REFUSED: it is deferred, dropped or reset
--- a/src/core/steer_explain.c
+++ b/src/core/steer_explain.c
@@ -8,8 +8,10 @@
 #include "steer_internal.h"
 
 #define PER_MILLE 1000
-/** Maximum time by which a token bucket is refilled at once, ms; as in
- * steer_choice.c. */
+/**
+ * Maximum time for which a token bucket is refilled at once, ms; as in
+ * steer_choice.c.
+ */
 #define COLD_REFILL_MAX_MS 1000
 
 /**
@@ -347,7 +349,7 @@
 		.avoid_token = explanation->avoid_token,
 		.now_ms = now_ms,
 	};
-	/* Of a service without a server, so that it needs no list of groups. */
+	/* For a service without servers; the zeroed list of groups is empty. */
 	struct cm_server_pool no_servers = { .count = 0 };
 	struct cm_choice_context context;
 
@@ -416,7 +418,7 @@
 	explanation->is_registry_unreachable = steer->is_registry_unreachable;
 }
 
-/* Without a plan, or without a service, no server is compared. */
+/* Sets the verdict without a plan or a service; no server is compared. */
 static void explain_refusal(struct cm_steer *steer, uint64_t now_ms,
 			    struct cm_explanation *explanation)
 {
--- a/src/core/steer_flow_result.c
+++ b/src/core/steer_flow_result.c
@@ -55,7 +55,7 @@
 /*
  * The results are kept until the next message to the source of the failure
  * domain; an instance that is itself the source evaluates them. Results beyond
- * CM_STEER_RESULTS_MAX are dropped. An adopted flow has no result, as its begin
+ * CM_STEER_RESULTS_MAX are dropped. An adopted flow has no result, as its start
  * was not seen.
  */
 void cm_steer_record_flow_result(struct cm_steer *steer, uint64_t now_ms,
--- a/src/core/steer_gone.c
+++ b/src/core/steer_gone.c
@@ -30,6 +30,7 @@
 		gone->renewed_from_ms = ended_ms;
 }
 
+/* Whether the entry is absent without draining and without a later run. */
 static bool is_missing(const struct cm_steer_server *server)
 {
 	if (server->listing == CM_LISTED || server->is_replaced)
@@ -99,8 +100,8 @@
 
 /*
  * Whether the source lists the server as down. A caller has retransmitted data
- * to it, so that it has not answered since CM_DATA_STALL_MS before the
- * list was first requested; an answer after that disproves the list.
+ * to it, so that it has not answered since CM_DATA_STALL_MS before the list was
+ * first requested; an answer after that disproves the list.
  */
 static bool is_down(const struct cm_steer *steer, uint64_t now_ms,
 		    const struct cm_steer_server *server, uint64_t *since_ms)
@@ -135,8 +136,8 @@
 
 /*
  * Whether the source suspected the server while its entry was about to expire,
- * and the server has not answered since. New flows, which would renew such a
- * report, end with the entry.
+ * and the server has not answered since. After the removal such a report is not
+ * renewed, as the server gets no new flows.
  */
 static bool was_reported_before_removal(const struct cm_steer_server *server)
 {
@@ -151,8 +152,9 @@
  * Whether an observation agrees that a server whose entry was removed is gone.
  * A server that is cut off from the registry alone loses its entry, too.
  */
-static bool shows_no_life(const struct cm_steer *steer, uint64_t now_ms,
-			  const struct cm_steer_server *server)
+static bool observation_confirms_removal(const struct cm_steer *steer,
+					 uint64_t now_ms,
+					 const struct cm_steer_server *server)
 {
 	uint64_t since_ms;
 
@@ -164,8 +166,8 @@
 
 /*
  * Whether a server whose entry was removed without draining is gone: most other
- * entries of its failure domain stayed for long enough, and the server shows no
- * life.
+ * entries of its failure domain stayed for long enough, and an observation
+ * agrees.
  */
 static bool removal_is_certain(struct cm_steer *steer, uint64_t now_ms,
 			       const struct cm_steer_server *server)
@@ -173,14 +175,13 @@
 	return steer->registry_confirmed_ms >=
 		       server->removed_ms + REMOVALS_SPREAD_MS &&
 	       domain_is_listed(steer, server->domain_hash) &&
-	       shows_no_life(steer, now_ms, server);
+	       observation_confirms_removal(steer, now_ms, server);
 }
 
 /*
  * Evidence from the registry; valid only while the registry is reachable and no
- * grace period after an outage is running. A
- * server that has lost its connection to the registry only still answers
- * callers.
+ * grace period after an outage is running. A server that has lost only its
+ * connection to the registry still answers callers.
  */
 static bool check_registry(struct cm_steer *steer, uint64_t now_ms,
 			   const struct cm_steer_server *server,
@@ -328,8 +329,11 @@
 	       is_repeatable(steer, packet);
 }
 
-/* Whether the instance may act on evidence. */
-static bool may_judge(const struct cm_steer *steer, uint64_t now_ms)
+/*
+ * Whether the instance may act on evidence: it reaches servers, and its
+ * registry data is recent and was renewed since the last pause of the process.
+ */
+static bool may_act(const struct cm_steer *steer, uint64_t now_ms)
 {
 	return !cm_steer_is_cut_off(steer) &&
 	       cm_steer_registry_is_fresh(steer, now_ms) &&
@@ -356,7 +360,7 @@
 	if (packet->flags & (CM_STEER_SYN | CM_STEER_RST) ||
 	    !has_evidence(steer, now_ms, packet, server, evidence))
 		return false;
-	if (may_judge(steer, now_ms))
+	if (may_act(steer, now_ms))
 		return true;
 	cm_counters_add(&steer->counters, CM_C_STEER_GONE_WITHHELD);
 	return false;
--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -4,8 +4,10 @@
  * steer.c decides on callers' packets, steer_choice.c chooses the servers of
  * new flows, steer_registry.c applies registry data, steer_watch.c detects
  * unanswered SYNs, selects the servers to be probed and determines readiness,
- * steer_flow_result.c records successful and failed flows, and steer_gone.c
- * decides whether the server of an open flow is gone.
+ * steer_flow_result.c records successful and failed flows, steer_gone.c decides
+ * whether the server of an open flow is gone, steer_admission.c admits requests
+ * under overload, steer_load.c exchanges loads with the source, and
+ * steer_explain.c explains placements.
  */
 #ifndef CORE_STEER_INTERNAL_H
 #define CORE_STEER_INTERNAL_H
--- a/src/core/steer_load.c
+++ b/src/core/steer_load.c
@@ -16,7 +16,10 @@
  */
 #define CHANGE_MIN 8
 #define CHANGE_DIVISOR 16
-/** Added to the priority of a changed load; above each age in reports. */
+/**
+ * Added to the priority of a changed load. The priority of others is the number
+ * of reports since their last one, which stays below this.
+ */
 #define CHANGED_PRIORITY (1ULL << 40)
 /**
  * Age up to which a flow of a route without samples makes the instance's loads
@@ -67,6 +70,7 @@
 	return steer->load_report_seq - load->report_seq + 1;
 }
 
+/* Keeps the @max candidates of highest priority. */
 static void add_candidate(struct load_candidates *candidates,
 			  struct cm_steer_server *server, uint64_t priority)
 {
@@ -88,6 +92,8 @@
 }
 
 /*
+ * Updates the shares of the flows in the loads of their servers.
+ *
  * Return: number of flows of routes about which nothing is known yet. They
  * count as one busy slot each, which can be 60 times the load of a long flow.
  */
@@ -124,10 +130,14 @@
 	load->zero_reports = load->own ? 0 : load->zero_reports + 1;
 }
 
-/* Return: number of servers that are reported for the first time. */
-static uint32_t list_changes(struct cm_steer *steer,
-			     struct load_candidates *candidates,
-			     struct cm_load_list *loads)
+/*
+ * Copies the candidates to the report and records them as reported.
+ *
+ * Return: number of servers that are reported for the first time.
+ */
+static uint32_t report_candidates(struct cm_steer *steer,
+				  struct load_candidates *candidates,
+				  struct cm_load_list *loads)
 {
 	uint32_t first_reports = 0;
 
@@ -163,7 +173,7 @@
 		if (priority)
 			add_candidate(&candidates, server, priority);
 	}
-	first_reports = list_changes(steer, &candidates, loads);
+	first_reports = report_candidates(steer, &candidates, loads);
 	pthread_mutex_unlock(&steer->lock);
 	return first_reports == candidates.unreported && !unknown;
 }
@@ -202,8 +212,10 @@
 	pthread_mutex_unlock(&steer->lock);
 }
 
-/* Records for the log when the loads of the other instances become known, and
- * when they are no longer known. */
+/*
+ * Records for the log when the loads of the other instances become known, and
+ * when they are no longer known.
+ */
 void cm_steer_check_loads(struct cm_steer *steer, uint64_t now_ms)
 {
 	bool are_known =
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -255,7 +255,10 @@
 	steer->was_ready = ready;
 }
 
-/* Number of observations by which a server is silent: SYNs and data. */
+/*
+ * Number of kinds of evidence that a server is silent: 0, 1 for SYNs and
+ * probes, 2 if data is not acknowledged either.
+ */
 static uint32_t count_observations(const struct cm_steer_server *server,
 				   uint64_t now_ms)
 {
--- a/src/core/token_marks.c
+++ b/src/core/token_marks.c
@@ -1,6 +1,6 @@
 #include "chervilmast/token_marks.h"
 
-/** Maximum length of a list with marks. */
+/** Maximum length of a list with marks; leaves one element for other marks. */
 #define MARKED_MAX (CM_MESSAGE_TOKENS_MAX - 1)
 
 static bool contains(const struct cm_message_tokens *tokens, uint32_t count,
