Clarify comments and local names of the adapters, the daemon and tests

Several tests had no comment on the failure that they guard against.

Names of public functions, log lines, counters and expectations of tests stay as they are; no code moves.

Ruled out: renaming the tests themselves, as the scripts select by name, and mending tests/process/main.c, which doesn't compile before or after this change: it calls platform_standin_take_leases() with two arguments, and the function has one since.

--- a/src/adapters/message_internal.h
+++ b/src/adapters/message_internal.h
@@ -18,7 +18,7 @@
 #define CM_ITEMS_FIELDS 9
 #define CM_ITEM_FIELDS 4
 
-/** Numbers of the optional fields of ITEMS_REQUEST and ITEMS. */
+/** Key of the loads in the optional fields of ITEMS_REQUEST and ITEMS. */
 #define CM_OPTIONAL_LOADS 1
 
 #endif
--- a/src/adapters/message_items.c
+++ b/src/adapters/message_items.c
@@ -16,7 +16,7 @@
 			(uint32_t)cm_reader_number(&list, UINT32_MAX);
 }
 
-/* Marks are optional; an instance of an earlier version writes none. */
+/* Marks (token_marks.h) are optional; earlier versions write none. */
 static void get_marked_tokens(struct cm_reader *reader,
 			      struct cm_message_tokens *tokens,
 			      struct cm_message_tokens *marked)
@@ -78,7 +78,10 @@
 	return map ? &map->via.map : NULL;
 }
 
-/* Return: whether the map has field @number; then @value is set to its reader.
+/*
+ * Looks up a field by its number and sets @value to a reader of it.
+ *
+ * Return: false when the map has no such field.
  */
 static bool find_optional(const struct cm_reader *reader,
 			  const msgpack_object_map *map, uint64_t number,
--- a/src/adapters/message_reader.h
+++ b/src/adapters/message_reader.h
@@ -50,6 +50,9 @@
 /**
  * cm_reader_open_struct() - return a reader of an array of at least @fields
  * elements
+ *
+ * Further elements are optional fields, or fields of a later version. Fails
+ * with CM_E_TRUNCATED for a shorter array.
  */
 struct cm_reader cm_reader_open_struct(struct cm_reader *reader,
 				       uint32_t fields);
--- a/src/adapters/route_traits.c
+++ b/src/adapters/route_traits.c
@@ -37,8 +37,8 @@
 	uint32_t count;
 };
 
-static bool equal(const struct cm_route_traits *a,
-		  const struct cm_route_traits *b)
+static bool traits_equal(const struct cm_route_traits *a,
+			 const struct cm_route_traits *b)
 {
 	return a->kind == b->kind && a->priority == b->priority &&
 	       a->timeout_ms == b->timeout_ms;
@@ -50,13 +50,15 @@
 {
 	uint32_t i = 0;
 
-	while (i < groups->count && !equal(&groups->items[i].traits, traits))
+	while (i < groups->count &&
+	       !traits_equal(&groups->items[i].traits, traits))
 		i++;
 	return i;
 }
 
-/* Moves the group with the most routes to the front. */
-static void sort_groups(struct groups *groups)
+/* The first group lists no routes, so the item is shortest if that is the group
+ * with the most. */
+static void move_largest_to_front(struct groups *groups)
 {
 	struct group *first = &groups->items[0];
 
@@ -88,7 +90,7 @@
 		}
 		groups->items[index].count++;
 	}
-	sort_groups(groups);
+	move_largest_to_front(groups);
 }
 
 static void put_group(msgpack_packer *packer, const struct group *group,
@@ -107,7 +109,7 @@
 	for (size_t i = 0; i < plan->route_count; i++) {
 		const struct cm_plan_route *route = &plan->routes[i];
 
-		if (!equal(&route->traits, &group->traits))
+		if (!traits_equal(&route->traits, &group->traits))
 			continue;
 		msgpack_pack_uint32(packer, route->address.address);
 		msgpack_pack_uint16(packer, route->address.port);
--- a/src/cli/cmd_explain.c
+++ b/src/cli/cmd_explain.c
@@ -15,7 +15,7 @@
 #define URL_SIZE 64
 #define PATH_SIZE 128
 
-/* The page answers an error with its name. */
+/* Return: the error that the page names in its first line. */
 static int read_error(const char *text)
 {
 	static const int errors[] = {
--- a/src/daemon/explain_page.c
+++ b/src/daemon/explain_page.c
@@ -90,7 +90,8 @@
 	g_string_append_c(text, '\n');
 }
 
-static uint32_t listed(uint32_t count)
+/* Return: number of servers that are listed, out of @count. */
+static uint32_t row_count(uint32_t count)
 {
 	return count < CM_EXPLAIN_ROWS_MAX ? count : CM_EXPLAIN_ROWS_MAX;
 }
@@ -107,9 +108,9 @@
 			       service->candidate_count,
 			       service->excluded_count, service->is_busy,
 			       service->mean_flow_ms);
-	for (uint32_t i = 0; i < listed(service->candidate_count); i++)
+	for (uint32_t i = 0; i < row_count(service->candidate_count); i++)
 		append_candidate(text, &service->candidates[i]);
-	for (uint32_t i = 0; i < listed(service->excluded_count); i++)
+	for (uint32_t i = 0; i < row_count(service->excluded_count); i++)
 		append_excluded(text, &service->excluded[i]);
 }
 
@@ -177,8 +178,8 @@
 	return error || route->port ? error : CM_E_MISSING_KEY;
 }
 
-static char *error_text(int error, unsigned int status_of_error,
-			unsigned int *status)
+static char *render_error(int error, unsigned int status_of_error,
+			  unsigned int *status)
 {
 	*status = status_of_error;
 	return g_strconcat(cm_error_name(error), "\n", NULL);
@@ -195,7 +196,7 @@
 	int error = read_query(query, &route, &avoid_token);
 
 	if (error)
-		return error_text(error, HTTP_BAD_REQUEST, status);
+		return render_error(error, HTTP_BAD_REQUEST, status);
 	explanation = malloc(sizeof(*explanation));
 	if (!explanation)
 		return NULL;
@@ -204,7 +205,7 @@
 	if (!error)
 		text = cm_explain_text(explanation);
 	else if (error != CM_E_MEMORY)
-		text = error_text(error, HTTP_NOT_FOUND, status);
+		text = render_error(error, HTTP_NOT_FOUND, status);
 	free(explanation);
 	return text;
 }
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -58,8 +58,8 @@
  * @members_were_lost: the store changed its era since that entry was last
  *                     written: it is missing, or comes from the older copy and
  *                     lists former members
- * @read_has_plan: the registry read or snapshot in progress contains a plan
- * that is not older than the one in force
+ * @read_has_plan: the registry read in progress contains a plan, or the
+ *                 snapshot one that is not older than the plan in force
  * @peers_buffer: buffer for a list of members
  * @source: choice of the instance to send requests to instead of the registry
  * @request_address: control address to which the last request to a source was
@@ -78,7 +78,8 @@
  * @loads: loads of servers that instances of the failure domain reported
  * @loads_source: incarnation of the source to which loads are reported; 0 for
  *                none
- * @loads_epoch: series of the reports of loads
+ * @loads_epoch: number of the current series of reports of loads; a new series
+ *               begins with each new source
  * @own_loads_ms: when this instance last recorded its own loads in @loads, ms
  * @loads_answered_ms: time of the last answer of a source with optional fields,
  *                     ms; 0 for none
@@ -296,7 +297,7 @@
  * cm_feed_report_silent() - send the next request to the source at once, as a
  * server was newly found silent
  * @feed: the feed
- * @now_ms: current time
+ * @now_ms: current time, ms
  *
  * Never waits for the lock of the feed. Does nothing while this instance
  * queries the registry itself.
--- a/src/daemon/feed_events.c
+++ b/src/daemon/feed_events.c
@@ -110,7 +110,10 @@
 	       cm_error_name(error));
 }
 
-/* The entry may have been lost: the store came back from an older copy. */
+/*
+ * Keeps a failure domain out of service for the grace period: its entry may
+ * only have been lost, as the store came back from an older copy.
+ */
 static void hold_domain_out(const struct cm_feed *feed, const char *domain)
 {
 	cm_steer_hold_domain_out(feed->steer, domain);
--- a/src/daemon/feed_loads.c
+++ b/src/daemon/feed_loads.c
@@ -11,12 +11,12 @@
  */
 #define OWN_LOADS_INTERVAL_MS 500
 /**
- * Time since the last answer of a source for which an instance counts as one
- * that reports its loads to that source, ms. While some instances skip the
- * source, they send requests to this one, and it is not to alternate between
- * reports to the source and to itself.
+ * Time after an answer of a source during which an instance reports its loads
+ * to that source only, ms. Instances that skip the source send requests to this
+ * one meanwhile. Without the limit it would alternate between reports to the
+ * source and to itself.
  */
-#define FOLLOWER_MS 2000
+#define SOURCE_ANSWER_VALID_MS 2000
 
 void cm_feed_report_loads(struct cm_feed *feed, uint64_t now_ms,
 			  struct cm_message_items_request *request)
@@ -45,8 +45,9 @@
 }
 
 /*
- * The sums of this instance itself. It begins a new series of reports when it
- * becomes the source, as its last reports went to another one.
+ * Records this instance's own loads in its table and applies the sums of the
+ * other instances. A new series of reports begins when this instance becomes
+ * the source, as its last reports went to another one.
  */
 static void exchange_own_loads(struct cm_feed *feed, uint64_t now_ms,
 			       uint32_t members)
@@ -60,7 +61,7 @@
 
 	if (now_ms < feed->own_loads_ms + OWN_LOADS_INTERVAL_MS ||
 	    (feed->loads_answered_ms &&
-	     now_ms < feed->loads_answered_ms + FOLLOWER_MS))
+	     now_ms < feed->loads_answered_ms + SOURCE_ANSWER_VALID_MS))
 		return;
 	feed->own_loads_ms = now_ms;
 	if (feed->loads_source != feed->incarnation) {
@@ -90,7 +91,7 @@
 	uint32_t members = cm_steer_count_local_peers(feed->steer);
 
 	items->has_optional = request->reads_optional;
-	/* Instances of other failure domains request a first copy only. */
+	/* An instance of another failure domain requests only a first copy. */
 	if (!request->has_optional ||
 	    strcmp(from->domain, feed->self.domain) != 0)
 		return;
--- a/src/daemon/feed_registry.c
+++ b/src/daemon/feed_registry.c
@@ -183,33 +183,32 @@
 }
 
 /*
- * While the first snapshot of a later era is read, an entry may come from an
- * older copy of the store, and the members in this copy of the registry may be
- * more recent: none is removed. Of the own failure domain's entry, only the
- * revision is used, to replace the entry. That of another domain may have been
- * written again before this read and is then the latest one, so its members are
- * added.
+ * While the first snapshot of a later era is read, an entry may come from the
+ * store's older copy, and the members that this instance knows may be more
+ * recent: none of them is removed. Of the own failure domain's entry, only the
+ * revision is used, to replace the entry. The entry of another domain may
+ * already have been written again before this read, so its members are added.
  */
 static void on_members(void *user, const struct cm_domain_members *members,
 		       uint64_t revision)
 {
 	struct cm_feed *feed = user;
 	bool is_own = !strcmp(members->domain, feed->self.domain);
-	bool is_restored;
+	bool may_be_outdated;
 
 	pthread_mutex_lock(&feed->lock);
 	cm_feed_observe(feed, revision, FROM_REGISTRY);
-	is_restored = cm_feed_is_entering_era(feed) &&
-		      knows_members(feed, members->domain);
-	if (!is_restored)
+	may_be_outdated = cm_feed_is_entering_era(feed) &&
+			  knows_members(feed, members->domain);
+	if (!may_be_outdated)
 		remove_missing_members(feed, members, revision);
-	if (!is_restored || !is_own)
+	if (!may_be_outdated || !is_own)
 		put_members(feed, members, revision);
 	if (is_own && revision > feed->members_revision) {
 		feed->members_revision = revision;
-		feed->members_were_lost = is_restored;
+		feed->members_were_lost = may_be_outdated;
 		cm_roster_load(&feed->roster, cm_clock_ms(),
-			       is_restored ? NULL : members);
+			       may_be_outdated ? NULL : members);
 	}
 	pthread_mutex_unlock(&feed->lock);
 }
--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -330,8 +330,8 @@
 }
 
 /*
- * The era of the copy may be later than that of the last answer of the
- * registry, as changes also come from the source.
+ * The era of the local copy may be later than that of the registry's last
+ * answer, as the copy also gets changes from the source.
  */
 static void raise_era(struct cm_registry_loop *loop)
 {
--- a/src/daemon/steer_log.c
+++ b/src/daemon/steer_log.c
@@ -3,8 +3,8 @@
 #include "adapters/socket.h"
 #include "log.h"
 
-/** Divisor from us of work per second to thousandths of a slot. */
-#define US_PER_MS 1000
+/** Work of a thousandth of a slot, us per second. */
+#define WORK_US_PER_MILLISLOT 1000
 
 static const enum cm_log_event change_events[] = {
 	[CM_STEER_CHANGE_UNANSWERED] = CM_EVENT_SYN_UNANSWERED,
@@ -47,8 +47,8 @@
 
 /*
  * A reset of an open flow is logged as CM_EVENT_FLOW_GONE. Every other packet
- * that is not forwarded is logged as CM_EVENT_FLOW_REFUSED; the
- * field reason states whether it was refused, held or dropped.
+ * that is not forwarded is logged as CM_EVENT_FLOW_REFUSED; the field reason
+ * states whether it was refused, held or dropped.
  */
 void cm_steer_log_verdict(const struct cm_steer_packet *packet,
 			  const struct cm_steer_verdict *verdict)
@@ -136,10 +136,11 @@
 	       "shed=%u",
 	       report->service, states[report->kind],
 	       (unsigned long long)report->lasted_ms,
-	       (unsigned long long)(evidence->demand / US_PER_MS),
-	       (unsigned long long)(report->capacity / US_PER_MS),
-	       (unsigned long long)(report->limit / US_PER_MS),
-	       (unsigned long long)(evidence->completed / US_PER_MS),
+	       (unsigned long long)(evidence->demand / WORK_US_PER_MILLISLOT),
+	       (unsigned long long)(report->capacity / WORK_US_PER_MILLISLOT),
+	       (unsigned long long)(report->limit / WORK_US_PER_MILLISLOT),
+	       (unsigned long long)(evidence->completed /
+				    WORK_US_PER_MILLISLOT),
 	       evidence->started, evidence->answered, evidence->rejected,
 	       evidence->slowness_per_mille, report->totals.admitted,
 	       report->totals.deferred, report->totals.shed);
--- a/src/daemon/steer_loop.c
+++ b/src/daemon/steer_loop.c
@@ -181,7 +181,10 @@
 		count_send_failures(loop, cm_udp_batch_send(&loop->batch));
 }
 
-/* Lets the source know at once of servers that are newly found silent. */
+/*
+ * Reports servers that are newly found silent to the source at once, or at a
+ * later tick if the feed can't send a request now.
+ */
 static void report_silent(struct cm_steer_loop *loop, uint64_t now_ms)
 {
 	if (cm_steer_take_new_silent(loop->steer))
--- a/src/daemon/steer_loop.h
+++ b/src/daemon/steer_loop.h
@@ -33,7 +33,8 @@
  * @is_flushing: cm_steer_loop_flush() was called; packets are no longer held
  * @probes: probes in progress
  * @feed: told of servers that are newly found silent; NULL for none
- * @must_report: a server was newly found silent, and @feed is to be told
+ * @must_report: a server was newly found silent, and @feed has not yet been
+ *               told
  */
 struct cm_steer_loop {
 	struct cm_steer *steer;
--- a/tests/process/main.c
+++ b/tests/process/main.c
@@ -25,7 +25,9 @@
 /** From this seed on, the store also goes back to older copies; lower seeds
  * keep their sequences of faults. */
 #define FIRST_ERA_SEED 100
+/** Exclusive upper limit of the age of the copy, ms. */
 #define GO_BACK_SPAN_MS 8000
+/** With changes of era, one fault in this number is one. */
 #define ERA_FAULTS_ONE_IN 3
 /** Time until what the store lost is written again, ms. */
 #define WRITE_AGAIN_MS 1500
--- a/tests/process/scenario.c
+++ b/tests/process/scenario.c
@@ -211,11 +211,12 @@
 
 /*
  * Guards against instances that mix the data of a restored store with their
- * own. The store comes back from a copy that lacks the last plan, a failure
- * domain out of service, a server and the leases, and a second
- * time after an outage. No request may fail, no instance may serve the plan
- * before the last one, renew a lease of another client or send a flow to the
- * failure domain, and the store must not get more than twice its usual calls.
+ * own. The store comes back from a copy that lacks the last plan, the entry
+ * that takes a failure domain out of service, a server and the leases. It does
+ * so a second time after an outage. No request may fail, no instance may serve
+ * the plan before the last one, renew a lease of another client or send a flow
+ * to the failure domain, and the store must not get more than twice its usual
+ * calls.
  */
 static void play_older_copy(struct platform_standin *store)
 {
--- a/tests/standin/platform_lease.h
+++ b/tests/standin/platform_lease.h
@@ -43,8 +43,8 @@
 /** platform_lease_grant() - create a lease; returns its ID */
 int64_t platform_lease_grant(struct platform_leases *leases, int ttl_ms);
 
-/** platform_lease_grant_foreign() - grant the numbers of all lost leases that
- * are not yet assigned again to another client */
+/** platform_lease_grant_foreign() - grant another client all numbers of lost
+ * leases that are not yet assigned again */
 void platform_lease_grant_foreign(struct platform_leases *leases, int ttl_ms);
 
 /** platform_leases_lose() - lose all leases; their numbers are assigned again
--- a/tests/standin/platform_store.h
+++ b/tests/standin/platform_store.h
@@ -83,8 +83,8 @@
 void platform_standin_go_back(struct platform_standin *standin, uint64_t ms);
 
 /**
- * platform_standin_take_leases() - grant the numbers of the leases that the
- * store lost when it last went back to another client
+ * platform_standin_take_leases() - grant another client the numbers of the
+ * leases that the store lost when it last went back
  * @standin: the store
  */
 void platform_standin_take_leases(struct platform_standin *standin);
--- a/tests/unit/overload_model.c
+++ b/tests/unit/overload_model.c
@@ -15,11 +15,13 @@
 #define QUEUE_MAX 8
 #define RETRIES_MAX 2
 #define RETRY_DELAY_MS 10
+/* Time after its first SYN at which an attempt to open a flow ends, ms. */
 #define ATTEMPT_MS 1400
 /* A caller closes a long flow after this time without a request. */
 #define LONG_IDLE_MS 1000
 #define ANSWER_BYTES 1000
 #define REJECTION_BYTES 100
+/* Number of random trials in a step, each of which may start a request. */
 #define TRIALS 32
 #define PERCENT 100
 #define MS_PER_S 1000
--- a/tests/unit/test_down_list.c
+++ b/tests/unit/test_down_list.c
@@ -69,6 +69,8 @@
 	ck_assert_uint_eq(count_down(NOW_MS + 1), 0);
 }
 
+/* An instance that was lost sends no more requests, so nothing else ends its
+ * report. */
 TEST(report_of_an_instance_that_was_lost_expires)
 {
 	cm_down_list_report(&list, NOW_MS, 1, &server, &server);
@@ -77,6 +79,8 @@
 	ck_assert_uint_eq(count_down(NOW_MS + CM_SUSPECT_TTL_MS), 0);
 }
 
+/* More reports than the list holds must not be written beyond it, and their
+ * expiry must make room for new ones. */
 TEST(list_is_bounded)
 {
 	for (uint32_t token = 1; token <= 2 * CM_DOWN_LIST_MAX; token++) {
--- a/tests/unit/test_feed_era.c
+++ b/tests/unit/test_feed_era.c
@@ -123,6 +123,8 @@
 	ck_assert_uint_eq(cm_feed_revision(&source.feed), at(2, COPY_REVISION));
 }
 
+/* A server that was lost with the first change must not count as gone after the
+ * second, and a skipped era is one change. */
 TEST(era_that_changes_twice_in_a_row_is_followed)
 {
 	read_servers(&source, 1, 4, at(1, REVISION));
@@ -190,6 +192,8 @@
 	ck_assert(!is_domain_out(&source));
 }
 
+/* The operator writes the entry again in the new era. The end of the grace
+ * period must not put the domain back in service. */
 TEST(domain_that_is_taken_out_again_stays_out)
 {
 	read_servers(&source, 1, 2, at(1, REVISION));
@@ -212,6 +216,8 @@
 	ck_assert(!is_domain_out(&source));
 }
 
+/* A plan in force must not be rolled back to that of the older copy, although
+ * its position is later. */
 TEST(earlier_plan_of_the_copy_is_ignored_until_a_higher_one)
 {
 	read_servers(&source, 1, 2, at(1, REVISION));
--- a/tests/unit/test_feed_loads.c
+++ b/tests/unit/test_feed_loads.c
@@ -98,6 +98,8 @@
 	}
 }
 
+/* Guards against sums that contain an instance's own load, lack that of the
+ * source, or keep a load that has ended. */
 TEST(instances_learn_the_sums_of_the_others)
 {
 	server_at(&source, 1)->load.own = 100;
@@ -114,7 +116,7 @@
 	ck_assert_uint_eq(server_at(&other, 1)->load.others, 100);
 }
 
-/* The sums are used only while they are recent. */
+/* Sums of 3 s ago must not decide placements. Both transitions are counted. */
 TEST(old_sums_are_not_known)
 {
 	struct cm_steer_server *server = server_at(&follower, 1);
@@ -231,7 +233,7 @@
 	ck_assert_uint_eq(cm_suspect_list_read(&list, now_ms, tokens), 0);
 }
 
-/* Fields of a later version are ignored. */
+/* A message with fields of a later version must not be refused. */
 TEST(unknown_optional_field_is_ignored)
 {
 	static const char frame[] =
--- a/tests/unit/test_gone_load.c
+++ b/tests/unit/test_gone_load.c
@@ -12,8 +12,8 @@
 /*
  * A failure domain of 20 instances and 60 servers. 720 callers have long flows
  * with pauses between the requests, and 80 use a flow for each request. At
- * FAULT_MS, 12 servers fail. The entries of dead servers are removed 2.4 to 3.6
- * s later.
+ * FAULT_MS, 12 servers fail. The entries of dead servers are removed 2.4 s to
+ * 3.6 s later.
  */
 #define NODES 20
 #define SERVERS 60
@@ -24,7 +24,9 @@
 #define END_MS 13000
 #define STEP_MS 5
 #define TICK_MS 25
+/** Interval of the requests of an instance to the source, ms. */
 #define EXCHANGE_MS 400
+/** Minimum time before a request that is sent early, ms. */
 #define REPORT_MS 100
 #define START_MS 1000000
 #define ROUND_TRIP_MS 5
@@ -33,6 +35,7 @@
 #define PAUSE_MIN_MS 300
 #define PAUSE_RANGE_MS 1400
 #define DEADLINE_MS 2000
+/** Time after its first SYN at which an attempt to open a flow ends, ms. */
 #define ATTEMPT_MS 1400
 #define RETRIES 2
 #define RESPONSE_BYTES 1000
@@ -48,7 +51,7 @@
 };
 
 /**
- * struct caller - a caller with a long flow
+ * struct caller - a caller and its flow
  * @state: what it does
  * @port: port of its flow; 0 for none
  * @token: token of its flow
--- a/tests/unit/test_load_table.c
+++ b/tests/unit/test_load_table.c
@@ -75,6 +75,7 @@
 	ck_assert_uint_eq(sum_for("a-1", START_MS + 5000, 2, 7), 20);
 }
 
+/* The loads of an instance that leaves must not count until they expire. */
 TEST(loads_of_an_instance_that_leaves_are_removed)
 {
 	report("a-1", START_MS, 1, 7, 100);
@@ -122,6 +123,7 @@
 	ck_assert_uint_eq(sum_for("a-1", START_MS, 2, 7), 0);
 }
 
+/* An instance's own report must not make the sums of the others look recent. */
 TEST(age_is_the_time_since_the_last_report_of_another_instance)
 {
 	struct cm_load_list sums;
--- a/tests/unit/test_route_admission.c
+++ b/tests/unit/test_route_admission.c
@@ -122,6 +122,9 @@
 	  true },
 };
 
+/* Guards against requests that are refused although the servers could serve
+ * them, as demand above the estimated capacity, rejections or slow responses
+ * alone are no overload, and against an overload that is not found. */
 TEST_TABLE(overload_needs_demand_and_evidence, loads)
 {
 	see(&loads[_i].seen, 3000);
@@ -133,7 +136,7 @@
 					 CM_ADMISSION_ADMIT);
 }
 
-/* A surge of a moment is no overload. */
+/* A surge of 300 ms or less is no overload. */
 TEST(overload_begins_after_300_ms)
 {
 	see(&surge, 300);
@@ -159,6 +162,8 @@
 	ck_assert_int_eq(decide(urgent, 0, 0), CM_ADMISSION_ADMIT);
 }
 
+/* A dip of demand of 1.5 s must not end an overload, but the overload must end
+ * within 2.5 s after the demand is covered. */
 TEST(overload_ends_when_demand_is_covered)
 {
 	begin_overload();
--- a/tests/unit/test_steer.c
+++ b/tests/unit/test_steer.c
@@ -69,9 +69,9 @@
 	{ 9, 799, CM_STEER_RESET }, { 0, 2477, CM_STEER_DROP },
 };
 
-/* Guards against the reset of an open flow: a node that was paused before it
- * had a plan finds SYNs that waited in its socket, and their callers may have
- * opened the flows at another node by a repeated SYN. */
+/* Guards against the reset of an open flow: an instance that was paused before
+ * it had a plan finds SYNs that waited in its socket, and their callers may
+ * have opened the flows at another instance by a repeated SYN. */
 TEST_TABLE(syn_that_waited_without_a_plan_is_not_reset, waited_without_plan)
 {
 	struct cm_steer_verdict verdict =
--- a/tests/unit/test_steer_explain.c
+++ b/tests/unit/test_steer_explain.c
@@ -56,6 +56,8 @@
 	       cost->unproven + cost->other_domain + cost->cold_start;
 }
 
+/* Guards against costs that omit the surcharge of another failure domain, or
+ * that are not in the order of the choice. */
 TEST(idle_servers_cost_less_in_the_own_domain)
 {
 	const struct cm_explained_service *service;
@@ -109,6 +111,8 @@
 	ck_assert_uint_eq(find_candidate(3)->cost.total, 1000);
 }
 
+/* An explanation of a second SYN must not choose the server that left the first
+ * one unanswered, and must show what servers without an answer cost more. */
 TEST(avoided_server_is_excluded_and_others_must_have_answered)
 {
 	const struct cm_explained_service *service;
@@ -220,6 +224,8 @@
 	ck_assert_uint_eq(explanation.services[0].verdict.server_id / 100, 1);
 }
 
+/* Without a plan, a server or fresh data, an explanation must state the action
+ * and reason that a packet would get. */
 TEST(refusals_are_explained)
 {
 	const struct cm_explained_service *service;
@@ -261,6 +267,7 @@
 	ck_assert(service->candidates[0].is_full);
 }
 
+/* A mistyped route or token must not yield an explanation of something else. */
 TEST(unknown_route_and_unknown_token_are_errors)
 {
 	const struct cm_endpoint other = { 0xc6120009, 443, 6 };
--- a/tests/unit/test_steer_gone.c
+++ b/tests/unit/test_steer_gone.c
@@ -109,6 +109,8 @@
 	assert_forwarded(2);
 }
 
+/* A restarted server doesn't have the flows of its earlier run; those of its
+ * present run must not be reset. */
 TEST(flow_of_an_earlier_run_is_reset)
 {
 	struct cm_server_entry entry = steering_make_entry(1, "a");
@@ -536,7 +538,7 @@
 }
 
 /* The limits for evidence of the registry hold for observations as well: no
- * reset on stale data, after a pause, or while the node is cut off. */
+ * reset on stale data, after a pause, or while the instance is cut off. */
 TEST(observation_resets_nothing_while_the_node_is_unsure)
 {
 	make_ready_for(CM_ROUTE_IDEMPOTENT);
--- a/tests/unit/test_steer_placement.c
+++ b/tests/unit/test_steer_placement.c
@@ -299,7 +299,8 @@
 	}
 }
 
-/* Number of seeds, with and without the exchange of loads. */
+/* Number of runs of a test: each seed once with and once without the exchange
+ * of loads. */
 #define RUNS 6
 
 TEST_LOOP(long_flows_are_spread_evenly, 0, RUNS)
@@ -381,7 +382,7 @@
 }
 
 /* Some instances are lost; their flows continue at others, which have to count
- * them without having seen their SYN. */
+ * them without having seen their SYN, or busy servers would seem idle. */
 TEST_LOOP(loss_of_instances, 0, RUNS)
 {
 	begin((uint32_t)_i);
@@ -395,7 +396,8 @@
 	check_busiest("10 s after the loss of 5 instances");
 }
 
-/* The source is lost, and the new one has no loads at first. */
+/* The source is lost, and the new one has no loads at first. Guards against an
+ * uneven placement by incomplete sums meanwhile. */
 TEST_LOOP(loss_of_the_source, 0, RUNS)
 {
 	begin((uint32_t)_i);
--- a/tests/unit/test_store_era.c
+++ b/tests/unit/test_store_era.c
@@ -179,6 +179,8 @@
 	ck_assert_uint_eq(received.reached, (uint64_t)standin.kv.revision);
 }
 
+/* A revision of more than 48 bits, of the read or of an item, would change the
+ * era of its position. */
 TEST(revision_out_of_range_is_refused)
 {
 	platform_standin_put(&standin, "a", "1");
@@ -191,7 +193,8 @@
 			 CM_E_OUT_OF_RANGE);
 }
 
-/* Answers with an error status name the era too. */
+/* Answers with an error status name the era too. If it were ignored there,
+ * a delayed answer of the earlier era would still be accepted. */
 TEST(error_status_reports_the_era)
 {
 	ASSERT_OK(platform_store_read(&store, "", false, &sink));
