--- a/tests/unit/test_steer_choice.c
+++ b/tests/unit/test_steer_choice.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "chervilmast/steer_choice.h"
 #include "unit/steering.h"
 
 #define PORTS_MAX 1000
@@ -252,3 +253,41 @@
 		steering_send_syn(port, 0);
 	ck_assert_uint_le(steering.servers_examined - before, 100 * 64);
 }
+
+/* Sets the known loads of the servers of the own failure domain, of which this
+ * instance's flows cause @own, thousandths of a slot. */
+static void set_known_loads(uint32_t own, uint32_t others)
+{
+	for (uint64_t id = 1; id <= 4; id++) {
+		struct cm_steer_server *server =
+			cm_steer_servers_find_by_id(&steering.servers, id);
+
+		server->load.own = own;
+		server->load.others = others;
+		server->load.others_ms = steering_ms;
+	}
+}
+
+static const char *domain_of_long_flow(void)
+{
+	const struct cm_choice_input choice = {
+		.service = "ledger",
+		.is_long = true,
+		.now_ms = steering_ms,
+	};
+	enum cm_spare_capacity capacity;
+
+	return cm_steer_choose(&steering, &choice, &capacity)->entry.domain;
+}
+
+/* Servers of another domain look idle, as only few loads there are known. A
+ * long flow to them is lost when the domains are cut off from each other, so it
+ * must stay in its domain while a slot is free there. */
+TEST(long_flow_stays_in_its_domain_while_a_slot_is_free)
+{
+	steering_make_ready(4);
+	set_known_loads(1500, 300);
+	ck_assert_str_eq(domain_of_long_flow(), "a");
+	set_known_loads(1500, 2500);
+	ck_assert_str_eq(domain_of_long_flow(), "b");
+}
