Reset flows of a drained server only if it shows no life

A draining server may serve on for many seconds, and its entry expires when it stops renewing it; the removal after draining was taken as certain without an observation.

Change: the removal of a draining server needs an observation that agrees, as a removal without draining does, but no wait. Tests forward first and reset once the server is reported.

--- a/src/core/steer_gone.c
+++ b/src/core/steer_gone.c
@@ -181,7 +181,8 @@
 /*
  * Evidence from the registry; valid only while the registry is reachable and no
  * grace period after an outage is running. A server that has lost only its
- * connection to the registry still answers callers.
+ * connection to the registry still answers callers. So does one that was
+ * draining for longer than its entry lasts.
  */
 static bool check_registry(struct cm_steer *steer, uint64_t now_ms,
 			   const struct cm_steer_server *server,
@@ -198,7 +199,7 @@
 		return false;
 	evidence->reason = CM_C_STEER_GONE_DRAINED;
 	if (server->entry.is_draining)
-		return true;
+		return observation_confirms_removal(steer, now_ms, server);
 	evidence->reason = CM_C_STEER_GONE_REMOVED;
 	return removal_is_certain(steer, now_ms, server);
 }
