--- a/tests/scripts/compare-bench.sh
+++ b/tests/scripts/compare-bench.sh
@@ -15,5 +15,9 @@
 echo "$day $seed" >>runs
 [ "$seed" = 9 ] && exit 1
 [ "$(basename "$PWD")" = better ] && gain=$seed || gain=0
-printf '{"G": 0.9%s, "breaks": {}, "fault": null, "all": {"in_aim": %s, "late": 10, "refused": 0, "failed": %s}}' \
-	"$seed" $((100 + gain)) $((5 - gain)) >"$2"
+printf '{"G": 0.9%s, "breaks": {}, "fault": null, ' "$seed" >"$2"
+printf '"all": {"in_aim": %s, "late": 10, "refused": 0, "failed": %s}, ' \
+	$((100 + gain)) $((5 - gain)) >>"$2"
+printf '"ends": {"200": 90, "deadline": %s}, ' $((4 - gain)) >>"$2"
+printf '"classes": [{"worth": 0.9}, {"worth": 0.8%s}], ' "$gain" >>"$2"
+printf '"zones": [{"worth": 1.0}, {"worth": 0.7}]}' >>"$2"
