Limit requests only when no failure domain has room

Cause: an instance compared demand with the slots of its own failure domain, while new flows may be placed in any domain. In a burst of one domain it deferred and shed requests of the lower rank beside free servers next door.

The same rate is part of the cost of a domain's servers, so that flows move to where room is, which also shows whether there is room. No message is sent and none is changed.

Ruled out: room elsewhere as a part of the estimated capacity.

--- a/include/chervilmast/admission.h
+++ b/include/chervilmast/admission.h
@@ -207,13 +207,15 @@
  * @now_ms: current time, ms
  * @capacity: estimated capacity of this instance, us of work per second; 0 when
  *            unknown
+ * @has_room: servers of another failure domain have room for requests, so that
+ *            an overload does not begin
  *
  * After CM_ADMISSION_PAUSE_MS without a call, the process was paused: the
  * packets that waited arrive at once and are no measure of demand. Then all
  * counts are discarded and an overload ends.
  */
 void cm_admission_update(struct cm_admission *admission, uint64_t now_ms,
-			 uint64_t capacity);
+			 uint64_t capacity, bool has_room);
 
 /**
  * cm_admission_decide() - decide on a request
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -390,11 +390,12 @@
 		*since_ms = now_ms;
 }
 
-static void check_begin(struct cm_admission *admission, uint64_t now_ms)
+static void check_begin(struct cm_admission *admission, uint64_t now_ms,
+			bool has_room)
 {
 	if (admission->exceeded_ms &&
 	    now_ms >= admission->exceeded_ms + EXCEEDED_MS &&
-	    responses_show_overload(admission, now_ms) &&
+	    responses_show_overload(admission, now_ms) && !has_room &&
 	    !cm_switched_off(CM_SWITCH_ADMISSION))
 		begin_overload(admission, now_ms);
 }
@@ -431,7 +432,7 @@
 }
 
 void cm_admission_update(struct cm_admission *admission, uint64_t now_ms,
-			 uint64_t capacity)
+			 uint64_t capacity, bool has_room)
 {
 	if (now_ms >= admission->updated_ms + CM_ADMISSION_PAUSE_MS)
 		restart(admission, now_ms);
@@ -444,7 +445,7 @@
 		    now_ms);
 	track_since(&admission->slow_ms, admission->evidence.is_slow, now_ms);
 	if (!admission->is_overloaded) {
-		check_begin(admission, now_ms);
+		check_begin(admission, now_ms, has_room);
 		return;
 	}
 	adapt_limit(admission);
--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -25,6 +25,11 @@
  * cost of an idle server.
  */
 #define REMOTE_COST 1000
+/**
+ * Added to the cost of the servers of a failure domain that rejects all
+ * requests, thousandths of the cost of an idle server.
+ */
+#define REJECTIONS_COST 5000
 /**
  * Added to the cost of a server in its cold start, thousandths of the cost of
  * an idle server.
@@ -464,6 +469,24 @@
 	       now_ms < server->health.answered_ms + ANSWER_RECENT_MS;
 }
 
+/*
+ * Cost that is common to the servers of a group: that of another failure domain
+ * and that of rejections. The latter moves flows to a domain with room once
+ * the servers of the own domain reject a fifth of the requests.
+ */
+static uint64_t domain_cost(const struct cm_server_group *group,
+			    const struct cm_steer *steer, uint64_t now_ms)
+{
+	uint64_t rejected = cm_rejection_rate_get(&group->rejections, now_ms);
+	uint64_t cost = rejected * REJECTIONS_COST / PER_MILLE;
+
+	if (cm_switched_off(CM_SWITCH_REJECTIONS_COST))
+		cost = 0;
+	if (group->domain_hash != steer->domain_hash)
+		cost += REMOTE_COST;
+	return cost;
+}
+
 uint64_t cm_server_cost(const struct cm_steer_server *server,
 			const struct cm_steer *steer,
 			const struct cm_choice_context *context)
@@ -472,8 +495,7 @@
 		       slowness_per_mille(server, context) / PER_MILLE;
 
 	sum += failures_cost(server, context);
-	if (server->domain_hash != steer->domain_hash)
-		sum += REMOTE_COST;
+	sum += domain_cost(server->group, steer, context->choice->now_ms);
 	if (!cm_switched_off(CM_SWITCH_UNPROVEN_COST) &&
 	    context->choice->avoid_token &&
 	    !answered_recently(server, context->choice->now_ms))
@@ -483,9 +505,8 @@
 	return sum;
 }
 
-uint64_t cm_server_least_cost(const struct cm_steer *steer,
-			      uint64_t domain_hash)
+uint64_t cm_group_least_cost(const struct cm_server_group *group,
+			     const struct cm_steer *steer, uint64_t now_ms)
 {
-	return domain_hash == steer->domain_hash ? CM_COST_IDLE :
-						   CM_COST_IDLE + REMOTE_COST;
+	return CM_COST_IDLE + domain_cost(group, steer, now_ms);
 }
--- a/src/core/server_cost.h
+++ b/src/core/server_cost.h
@@ -132,14 +132,14 @@
 			const struct cm_choice_context *context);
 
 /**
- * cm_server_least_cost() - lower bound of the cost of a server in a failure
- * domain
- * @steer: the instance
- * @domain_hash: hash of the domain's name
+ * cm_group_least_cost() - lower bound of the cost of a server in a group
+ * @group: the group
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
  *
  * Return: the cost, in the unit of cm_server_cost().
  */
-uint64_t cm_server_least_cost(const struct cm_steer *steer,
-			      uint64_t domain_hash);
+uint64_t cm_group_least_cost(const struct cm_server_group *group,
+			     const struct cm_steer *steer, uint64_t now_ms);
 
 #endif
--- a/src/core/steer_admission.c
+++ b/src/core/steer_admission.c
@@ -4,10 +4,16 @@
 #include <string.h>
 
 #include "steer_internal.h"
+#include "test_switch.h"
 
 #define US_PER_S 1000000ULL
 /** Time between two computations of the capacity, ms. */
 #define CAPACITY_TTL_MS 500
+/**
+ * Share of rejected requests below which a failure domain has room,
+ * thousandths.
+ */
+#define ROOM_REJECTED_PER_MILLE 150
 /** Time between two reports of an overload that lasts, ms. */
 #define REPORT_INTERVAL_MS 1000
 /** Times from a caller's first SYN to its transmissions, ms. */
@@ -277,6 +283,31 @@
 	service->capacity_ms = now_ms;
 }
 
+/*
+ * Whether another failure domain has room for new flows: it has a usable server
+ * and has not rejected many of the latest requests of this instance. A domain
+ * that has got no request lately counts as one with room; the cost of the
+ * rejections of the own domain then moves flows there.
+ */
+static bool others_have_room(const struct cm_steer *steer,
+			     const struct cm_admission_service *service,
+			     uint64_t now_ms)
+{
+	const struct cm_server_pool *pool =
+		cm_server_pools_find(&steer->servers.pools, service->hash);
+	const struct cm_server_group *group;
+
+	if (!pool || cm_switched_off(CM_SWITCH_ROOM_ELSEWHERE))
+		return false;
+	LIST_FOREACH(group, &pool->groups, link)
+	if (group->domain_hash != steer->domain_hash &&
+	    cm_rejection_rate_get(&group->rejections, now_ms) <
+		    ROOM_REJECTED_PER_MILLE &&
+	    usable_slots(steer, group, now_ms))
+		return true;
+	return false;
+}
+
 /* Reports that don't fit are dropped; the totals go into the next one. */
 static void add_report(struct cm_steer_admissions *admissions,
 		       struct cm_admission_service *service,
@@ -333,7 +364,8 @@
 			continue;
 		update_capacity(steer, service, now_ms);
 		cm_admission_update(&service->admission, now_ms,
-				    service->capacity);
+				    service->capacity,
+				    others_have_room(steer, service, now_ms));
 		report_state(steer, service, was_overloaded, now_ms);
 	}
 }
@@ -449,9 +481,19 @@
 		flow->request.is_counted = !cm_route_demand_is_long(route);
 }
 
+/* A server that has left is in no group. */
+static void record_room(const struct cm_steer_server *server, uint64_t now_ms,
+			bool is_rejected)
+{
+	if (server->group)
+		cm_rejection_rate_add(&server->group->rejections, now_ms,
+				      is_rejected);
+}
+
 /* Records the response that an acknowledgment may complete. */
 static void observe_ack(struct cm_steer *steer, uint64_t now_ms,
 			const struct cm_steer_packet *packet,
+			const struct cm_steer_server *server,
 			const struct cm_admission_service *service,
 			struct cm_route_demand *route,
 			struct cm_flow_request *request)
@@ -461,6 +503,7 @@
 		return;
 	if (!request->began_ms || request->state != CM_REQUEST_ANSWERED)
 		return;
+	record_room(server, now_ms, false);
 	cm_route_demand_answered(
 		route, now_ms, (uint32_t)(steer->active_ms - request->began_ms),
 		cm_admission_is_calm(&service->admission));
@@ -471,6 +514,7 @@
  * of an upload may follow an interim response and shows no end.
  */
 static void observe_end(uint64_t now_ms, const struct cm_steer_packet *packet,
+			const struct cm_steer_server *server,
 			struct cm_admission_service *service,
 			struct cm_route_demand *route,
 			struct cm_steer_flow *flow)
@@ -484,6 +528,7 @@
 		return;
 	if (!cm_flow_request_end(request) || !request->began_ms)
 		return;
+	record_room(server, now_ms, true);
 	cm_route_demand_rejected(route, now_ms);
 	cm_admission_server_rejected(&service->admission, now_ms, flow->token);
 }
@@ -579,8 +624,9 @@
 	 */
 	if (flow->has_request && !flow->request.count)
 		cm_flow_request_begin(&flow->request, 0, flow->last_ack);
-	observe_ack(steer, now_ms, packet, service, route, &flow->request);
-	observe_end(now_ms, packet, service, route, flow);
+	observe_ack(steer, now_ms, packet, server, service, route,
+		    &flow->request);
+	observe_end(now_ms, packet, server, service, route, flow);
 	if (packet->data_length &&
 	    cm_flow_request_is_next(&flow->request, packet->ack))
 		is_admitted = admit_data(steer, now_ms, packet, service, route,
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -141,7 +141,8 @@
 			 const struct cm_choice_context *context,
 			 struct best_choice *best)
 {
-	uint64_t least = cm_server_least_cost(steer, group->domain_hash);
+	uint64_t least =
+		cm_group_least_cost(group, steer, context->choice->now_ms);
 	uint32_t few = cm_choice_context_uses_loads(context) ?
 			       COMPARED_BY_LOAD :
 			       COMPARED_MAX;
@@ -180,7 +181,8 @@
 	LIST_FOREACH(group, &context->pool->groups, link)
 	if (group->domain_hash != steer->domain_hash &&
 	    (!best.server ||
-	     best.cost > cm_server_least_cost(steer, group->domain_hash) ||
+	     best.cost > cm_group_least_cost(group, steer,
+					     context->choice->now_ms) ||
 	     best.all_are_full))
 		search_group(steer, group, context, &best);
 	*all_are_full = best.all_are_full;
--- a/src/core/steer_explain.c
+++ b/src/core/steer_explain.c
@@ -118,8 +118,9 @@
 	cost->failures = failures(steer, context, server, total);
 	cost->unproven = unproven(steer, context, server, total);
 	cost->cold_start = cold_start(steer, context, server, total);
-	cost->other_domain =
-		cm_server_least_cost(steer, server->domain_hash) - CM_COST_IDLE;
+	cost->other_domain = cm_group_least_cost(server->group, steer,
+						 context->choice->now_ms) -
+			     CM_COST_IDLE;
 	cost->load = total - cost->idle - cost->slowness - cost->failures -
 		     cost->unproven - cost->cold_start - cost->other_domain;
 }
--- a/src/core/test_switch.h
+++ b/src/core/test_switch.h
@@ -63,10 +63,12 @@
 	X(PROBE_SETTLE, "probe-settle")           \
 	X(PROBE_SWALLOW, "probe-swallow")         \
 	X(REFUTATION, "refutation")               \
+	X(REJECTIONS_COST, "rejections-cost")     \
 	X(RELAY_SERVICE, "relay-service")         \
 	X(RESET_HOME, "reset-home")               \
 	X(RESET_NUMBER, "reset-number")           \
 	X(RETRY_BUDGET, "retry-budget")           \
+	X(ROOM_ELSEWHERE, "room-elsewhere")       \
 	X(SENDER_CHECK, "sender-check")           \
 	X(SERVER_LOAD, "server-load")             \
 	X(SERVER_REPORT, "server-report")         \
--- a/tests/unit/overload_model.c
+++ b/tests/unit/overload_model.c
@@ -52,6 +52,7 @@
  * @server: index of its server
  * @ack: acknowledgment number of the caller
  * @key: its key
+ * @domain: failure domain of its caller
  * @is_used: the entry is in use
  */
 struct model_flow {
@@ -60,6 +61,7 @@
 	uint32_t server;
 	uint32_t ack;
 	struct cm_flow_key key;
+	uint32_t domain;
 	bool is_used;
 };
 
@@ -73,26 +75,28 @@
 
 /**
  * struct model_request - a request
- * @phase: what it waits for
- * @route: its route
  * @started_ms: when it started
  * @since_ms: when the phase began
- * @sent: packets sent in the phase
  * @answer_ms: when the server answers; 0 for never
- * @is_rejected: the server rejects it
- * @retries: number of retries so far
  * @flow: its flow
+ * @phase: what it waits for
+ * @route: its route
+ * @domain: failure domain of its caller
+ * @sent: packets sent in the phase
+ * @retries: number of retries so far
+ * @is_rejected: the server rejects it
  */
 struct model_request {
-	enum model_phase phase;
-	enum overload_route route;
 	uint64_t started_ms;
 	uint64_t since_ms;
-	uint32_t sent;
 	uint64_t answer_ms;
-	bool is_rejected;
-	uint32_t retries;
 	struct model_flow *flow;
+	enum model_phase phase;
+	enum overload_route route;
+	uint32_t domain;
+	uint32_t sent;
+	uint32_t retries;
+	bool is_rejected;
 };
 
 /**
@@ -110,6 +114,7 @@
 static struct cm_steer *instances[OVERLOAD_INSTANCES_MAX];
 static uint32_t instance_count;
 static uint32_t running_count;
+static uint32_t domain_count = 1;
 static struct model_server servers[OVERLOAD_SERVERS];
 static struct model_request requests[REQUESTS_MAX];
 static struct model_flow flows[FLOWS_MAX];
@@ -120,22 +125,37 @@
 static uint64_t paused_until_ms;
 static uint32_t next_port;
 
-/* Hashes flows over the running instances. */
+static const char *const domain_names[OVERLOAD_DOMAINS_MAX] = { "a", "b", "c" };
+
+/* Servers and instances are dealt to the failure domains in turn. */
+static uint32_t domain_of(uint32_t index)
+{
+	return index % domain_count;
+}
+
+/* Hashes flows over the running instances of the caller's failure domain. */
 static uint32_t instance_of(const struct model_flow *flow)
 {
-	return (uint32_t)(cm_flow_key_hash(&flow->key) % running_count);
+	uint32_t count = 0;
+
+	for (uint32_t i = flow->domain; i < running_count; i += domain_count)
+		count++;
+	ck_assert_uint_gt(count, 0);
+	return (uint32_t)(cm_flow_key_hash(&flow->key) % count) * domain_count +
+	       flow->domain;
 }
 
 static void add_server(struct cm_steer *steer, uint32_t index)
 {
-	const struct cm_server_entry entry = {
+	struct cm_server_entry entry = {
 		.id = index + 1,
 		.service = "ledger",
-		.domain = "a",
 		.address = { 0x0a010000 + index, 8080, 17 },
 		.slots = OVERLOAD_SLOTS,
 	};
 
+	snprintf(entry.domain, sizeof(entry.domain), "%s",
+		 domain_names[domain_of(index)]);
 	ASSERT_OK(cm_steer_put_server(steer, now_ms, &entry));
 }
 
@@ -166,14 +186,14 @@
 {
 	memset(entry, 0, sizeof(*entry));
 	snprintf(entry->name, sizeof(entry->name), "a-%u", index);
-	snprintf(entry->domain, sizeof(entry->domain), "a");
+	snprintf(entry->domain, sizeof(entry->domain), "%s",
+		 domain_names[domain_of(index)]);
 }
 
 static struct cm_steer *start_instance(uint32_t index, uint32_t listed,
 				       bool with_priorities, uint64_t seed)
 {
-	const struct cm_steer_config config = {
-		.domain = "a",
+	struct cm_steer_config config = {
 		.seed = seed + index,
 		.flows_max = FLOWS_MAX,
 		.flow_life_ms = 60000,
@@ -185,6 +205,8 @@
 	struct cm_peer_entry entry;
 
 	ck_assert_ptr_nonnull(steer);
+	snprintf(config.domain, sizeof(config.domain), "%s",
+		 domain_names[domain_of(index)]);
 	cm_steer_init(steer, &config);
 	set_plan(steer, with_priorities);
 	for (uint32_t i = 0; i < OVERLOAD_SERVERS; i++)
@@ -198,8 +220,8 @@
 	return steer;
 }
 
-void overload_setup(uint32_t count, uint32_t listed, bool with_priorities,
-		    uint64_t seed)
+static void start_model(uint32_t domains, uint32_t count, uint32_t listed,
+			bool with_priorities, uint64_t seed)
 {
 	memset(servers, 0, sizeof(servers));
 	memset(requests, 0, sizeof(requests));
@@ -208,6 +230,7 @@
 	paused_until_ms = 0;
 	next_port = 0;
 	random_state.state = seed;
+	domain_count = domains;
 	instance_count = count;
 	running_count = count;
 	for (uint32_t i = 0; i < count; i++)
@@ -215,6 +238,17 @@
 	overload_begin_period();
 }
 
+void overload_setup(uint32_t count, uint32_t listed, bool with_priorities,
+		    uint64_t seed)
+{
+	start_model(1, count, listed, with_priorities, seed);
+}
+
+void overload_setup_domains(uint32_t domains, uint32_t count, uint64_t seed)
+{
+	start_model(domains, count, count, true, seed);
+}
+
 void overload_teardown(void)
 {
 	for (uint32_t i = 0; i < instance_count; i++) {
@@ -269,7 +303,7 @@
 	flow->is_used = false;
 }
 
-static struct model_flow *open_flow(enum overload_route route)
+static struct model_flow *open_flow(enum overload_route route, uint32_t domain)
 {
 	for (uint32_t i = 0; i < FLOWS_MAX; i++) {
 		struct model_flow *flow = &flows[i];
@@ -279,6 +313,7 @@
 		memset(flow, 0, sizeof(*flow));
 		flow->is_used = true;
 		flow->ack = 1;
+		flow->domain = domain;
 		flow->key.service = route_specs[route].address;
 		flow->key.caller.address = 0x64400000 + (next_port >> 14);
 		flow->key.caller.port =
@@ -291,14 +326,14 @@
 }
 
 /* Chooses at random, so that the requests of all flows reach all instances. */
-static struct model_flow *idle_flow(enum overload_route route)
+static struct model_flow *idle_flow(enum overload_route route, uint32_t domain)
 {
 	uint32_t first = fake_random_below(&random_state, FLOWS_MAX);
 
 	for (uint32_t i = 0; route == OVERLOAD_BULK && i < FLOWS_MAX; i++) {
 		struct model_flow *flow = &flows[(first + i) % FLOWS_MAX];
 
-		if (flow->is_used && flow->idle_ms)
+		if (flow->is_used && flow->idle_ms && flow->domain == domain)
 			return flow;
 	}
 	return NULL;
@@ -313,19 +348,21 @@
 
 static void begin_attempt(struct model_request *request)
 {
-	request->flow = request->retries ? NULL : idle_flow(request->route);
+	request->flow = request->retries ?
+				NULL :
+				idle_flow(request->route, request->domain);
 	if (request->flow) {
 		request->flow->idle_ms = 0;
 		set_phase(request, PHASE_SENDING);
 		return;
 	}
-	request->flow = open_flow(request->route);
+	request->flow = open_flow(request->route, request->domain);
 	set_phase(request, PHASE_OPENING);
 	if (request->retries)
 		request->since_ms += RETRY_DELAY_MS;
 }
 
-static void add_request(enum overload_route route)
+static void add_request(enum overload_route route, uint32_t domain)
 {
 	for (uint32_t i = 0; i < REQUESTS_MAX; i++) {
 		struct model_request *request = &requests[i];
@@ -334,8 +371,10 @@
 			continue;
 		memset(request, 0, sizeof(*request));
 		request->route = route;
+		request->domain = domain;
 		request->started_ms = now_ms;
 		totals.routes[route].requests++;
+		totals.domains[domain][route].requests++;
 		begin_attempt(request);
 		return;
 	}
@@ -376,14 +415,18 @@
 {
 	uint64_t took_ms = now_ms - request->started_ms;
 	struct overload_result *result = &totals.routes[request->route];
+	struct overload_result *in_domain =
+		&totals.domains[request->domain][request->route];
 
 	request->phase = PHASE_UNUSED;
 	if (!is_served || request->started_ms < period_ms)
 		return;
 	result->served++;
+	in_domain->served++;
 	if (took_ms > route_specs[request->route].objective_ms)
 		return;
 	result->in_time++;
+	in_domain->in_time++;
 	totals.useful_ms += route_specs[request->route].work_ms;
 }
 
@@ -517,14 +560,30 @@
 }
 
 /* Requests arrive at random, at a rate of @per_s on average. */
-static void add_requests(enum overload_route route, double per_s)
+static void add_requests(enum overload_route route, uint32_t domain,
+			 double per_s)
 {
 	double chance = per_s * STEP_MS / MS_PER_S / TRIALS;
 
 	for (int i = 0; i < TRIALS; i++)
 		if (fake_random_below(&random_state, 1 << 20) <
 		    chance * (1 << 20))
-			add_request(route);
+			add_request(route, domain);
+}
+
+/* Adds the requests of a step for a demand of @load_percent of the slots of the
+ * failure domain. */
+static void add_demand(uint32_t domain, uint32_t load_percent)
+{
+	double work_per_s = (double)OVERLOAD_SERVERS * OVERLOAD_SLOTS *
+			    MS_PER_S * load_percent / PERCENT / domain_count;
+	double bulk_per_s = work_per_s * BULK_PERCENT / PERCENT /
+			    route_specs[OVERLOAD_BULK].work_ms;
+	double urgent_per_s = work_per_s * (PERCENT - BULK_PERCENT) / PERCENT /
+			      route_specs[OVERLOAD_URGENT].work_ms;
+
+	add_requests(OVERLOAD_BULK, domain, bulk_per_s);
+	add_requests(OVERLOAD_URGENT, domain, urgent_per_s);
 }
 
 static void tick_instances(void)
@@ -537,19 +596,14 @@
 	}
 }
 
-void overload_run(uint32_t ms, uint32_t load_percent)
+void overload_run_domains(uint32_t ms, const uint32_t *load_percents)
 {
-	double work_per_s = (double)OVERLOAD_SERVERS * OVERLOAD_SLOTS *
-			    MS_PER_S * load_percent / PERCENT;
-	double bulk_per_s = work_per_s * BULK_PERCENT / PERCENT /
-			    route_specs[OVERLOAD_BULK].work_ms;
-	double urgent_per_s = work_per_s * (PERCENT - BULK_PERCENT) / PERCENT /
-			      route_specs[OVERLOAD_URGENT].work_ms;
 	uint64_t end_ms = now_ms + ms;
 
 	while (now_ms < end_ms) {
-		add_requests(OVERLOAD_BULK, bulk_per_s);
-		add_requests(OVERLOAD_URGENT, urgent_per_s);
+		for (uint32_t i = 0; i < OVERLOAD_DOMAINS_MAX; i++)
+			if (i < domain_count)
+				add_demand(i, load_percents[i]);
 		for (uint32_t i = 0; i < REQUESTS_MAX; i++)
 			step_request(&requests[i]);
 		now_ms += STEP_MS;
@@ -560,6 +614,15 @@
 	}
 }
 
+void overload_run(uint32_t ms, uint32_t load_percent)
+{
+	const uint32_t load_percents[OVERLOAD_DOMAINS_MAX] = { load_percent,
+							       load_percent,
+							       load_percent };
+
+	overload_run_domains(ms, load_percents);
+}
+
 static double share(uint64_t part, uint64_t whole)
 {
 	return whole ? (double)part / (double)whole : 0;
@@ -617,13 +680,24 @@
 	return false;
 }
 
+static void lose_server(uint32_t index)
+{
+	servers[index].is_lost = true;
+	for (uint32_t i = 0; i < running_count; i++)
+		cm_steer_remove_server(instances[i], now_ms, index + 1);
+}
+
 void overload_lose_servers(uint32_t count)
 {
-	for (uint32_t i = 0; i < count; i++) {
-		servers[i].is_lost = true;
-		for (uint32_t k = 0; k < running_count; k++)
-			cm_steer_remove_server(instances[k], now_ms, i + 1);
-	}
+	for (uint32_t i = 0; i < count; i++)
+		lose_server(i);
+}
+
+void overload_lose_domain(uint32_t domain)
+{
+	for (uint32_t i = 0; i < OVERLOAD_SERVERS; i++)
+		if (domain_of(i) == domain)
+			lose_server(i);
 }
 
 void overload_lose_instance(bool is_listed)
--- a/tests/unit/overload_model.h
+++ b/tests/unit/overload_model.h
@@ -1,12 +1,13 @@
 /**
  * DOC: Callers, instances and backend servers under overload, for tests
  *
- * Instances of one failure domain steer the flows of two routes to the servers
- * of one service. The urgent route has per-request flows and priority 1, the
- * bulk route long flows and priority 2. Callers repeat SYNs and data packets,
- * give up at their deadline and retry failed requests twice. A server processes
- * one request per slot, queues 8 more and rejects the others. Packets take no
- * time, and none is lost.
+ * Instances of up to three failure domains steer the flows of two routes to the
+ * servers of one service. Callers of a domain reach its own instances only,
+ * which may place flows in any domain. The urgent route has per-request flows
+ * and priority 1, the bulk route long flows and priority 2. Callers repeat SYNs
+ * and data packets, give up at their deadline and retry failed requests twice.
+ * A server processes one request per slot, queues 8 more and rejects the
+ * others. Packets take no time, and none is lost.
  */
 #ifndef UNIT_OVERLOAD_MODEL_H
 #define UNIT_OVERLOAD_MODEL_H
@@ -19,6 +20,8 @@
 #define OVERLOAD_SERVERS 20
 /** Slots of a server. */
 #define OVERLOAD_SLOTS 2
+/** Maximum number of failure domains. */
+#define OVERLOAD_DOMAINS_MAX 3
 
 /** enum overload_route - index of a route */
 enum overload_route { OVERLOAD_URGENT, OVERLOAD_BULK, OVERLOAD_ROUTES };
@@ -39,12 +42,14 @@
  * struct overload_totals - what the model counted since the last
  * overload_begin_period()
  * @routes: results by route, for requests that started in the period
+ * @domains: the same by the failure domain of the callers
  * @arrivals: requests that reached a server
  * @rejected: requests that a server rejected
  * @useful_ms: work of the requests that were answered within the objective, ms
  */
 struct overload_totals {
 	struct overload_result routes[OVERLOAD_ROUTES];
+	struct overload_result domains[OVERLOAD_DOMAINS_MAX][OVERLOAD_ROUTES];
 	uint32_t arrivals;
 	uint32_t rejected;
 	uint64_t useful_ms;
@@ -56,12 +61,20 @@
 void overload_setup(uint32_t count, uint32_t listed, bool with_priorities,
 		    uint64_t seed);
 
+/** overload_setup_domains() - start @count instances and the servers, spread
+ * evenly over @domains failure domains */
+void overload_setup_domains(uint32_t domains, uint32_t count, uint64_t seed);
+
 /** overload_teardown() - free everything */
 void overload_teardown(void);
 
 /** overload_run() - run for @ms with a demand for @load_percent of the slots */
 void overload_run(uint32_t ms, uint32_t load_percent);
 
+/** overload_run_domains() - run for @ms; the demand of the callers of each
+ * failure domain is given in percent of the slots of its servers */
+void overload_run_domains(uint32_t ms, const uint32_t *load_percents);
+
 /** overload_begin_period() - set the totals to 0; requests that started before
  * no longer count */
 void overload_begin_period(void);
@@ -81,6 +94,10 @@
 /** overload_is_overloaded() - whether an instance is in the overload state */
 bool overload_is_overloaded(void);
 
+/** overload_lose_domain() - stop the servers of a failure domain; the registry
+ * drops them at once */
+void overload_lose_domain(uint32_t domain);
+
 /** overload_lose_servers() - stop @count servers; the registry drops them at
  * once, and their requests are never answered */
 void overload_lose_servers(uint32_t count);
--- a/tests/unit/test_route_admission.c
+++ b/tests/unit/test_route_admission.c
@@ -24,6 +24,8 @@
 static struct cm_admission admission;
 static struct cm_route_demand *urgent, *bulk;
 static uint64_t now_ms;
+/* Whether another failure domain has room. */
+static bool has_room;
 
 /**
  * struct seen - what an instance sees in each 100 ms
@@ -58,13 +60,14 @@
 			cm_admission_server_rejected(&admission, now_ms,
 						     1 + i % seen->rejecting);
 		}
-		cm_admission_update(&admission, now_ms, CAPACITY);
+		cm_admission_update(&admission, now_ms, CAPACITY, has_room);
 	}
 }
 
 static void setup(void)
 {
 	now_ms = START_MS;
+	has_room = false;
 	cm_admission_init(&admission);
 	cm_admission_add_route(&admission, &urgent_route, now_ms);
 	cm_admission_add_route(&admission, &bulk_route, now_ms);
@@ -136,6 +139,20 @@
 					 CM_ADMISSION_ADMIT);
 }
 
+/* Guards against requests that are refused in a burst of one failure domain
+ * although the servers of another one have room. Once that is full too, the
+ * overload begins. */
+TEST(room_elsewhere_is_no_overload)
+{
+	has_room = true;
+	see(&surge, 3000);
+	ck_assert(!admission.is_overloaded);
+	ck_assert_int_eq(decide(bulk, 0, 200), CM_ADMISSION_ADMIT);
+	has_room = false;
+	see(&surge, 500);
+	ck_assert(admission.is_overloaded);
+}
+
 /* A surge of 300 ms or less is no overload. */
 TEST(overload_begins_after_300_ms)
 {
@@ -149,7 +166,7 @@
 TEST(unknown_capacity_is_no_overload)
 {
 	begin_overload();
-	cm_admission_update(&admission, now_ms, 0);
+	cm_admission_update(&admission, now_ms, 0, false);
 	ck_assert(!admission.is_overloaded);
 }
 
@@ -234,7 +251,7 @@
 		cm_admission_server_rejected(&admission, now_ms,
 					     1 + (uint32_t)i % 2);
 	}
-	cm_admission_update(&admission, now_ms, CAPACITY);
+	cm_admission_update(&admission, now_ms, CAPACITY, has_room);
 	ck_assert(!admission.is_overloaded);
 	now_ms += 100;
 	for (int i = 0; i < 100; i++)
--- a/tests/unit/test_steer_choice.c
+++ b/tests/unit/test_steer_choice.c
@@ -291,3 +291,28 @@
 	set_known_loads(1500, 2500);
 	ck_assert_str_eq(domain_of_long_flow(), "b");
 }
+
+/* Records responses of the servers of a failure domain. */
+static void reject(uint64_t server_id, uint32_t rejections)
+{
+	const struct cm_steer_server *server =
+		cm_steer_servers_find_by_id(&steering.servers, server_id);
+
+	for (uint32_t i = 0; i < rejections; i++)
+		cm_rejection_rate_add(&server->group->rejections, steering_ms,
+				      true);
+}
+
+/* Guards against new flows that go to the full servers of the own failure
+ * domain although another one has room, and against flows that leave a domain
+ * after a single rejection or while the others are as full. */
+TEST(rejections_move_flows_to_a_domain_with_room)
+{
+	steering_make_ready(4);
+	reject(1, 1);
+	ck_assert_uint_lt(steering_send_syn(1, 0).server_id, 101);
+	reject(1, 7);
+	ck_assert_uint_ge(steering_send_syn(2, 0).server_id, 101);
+	reject(101, 8);
+	ck_assert_uint_lt(steering_send_syn(3, 0).server_id, 101);
+}
