Move the limit by each response and by the room of other domains

One rejection is a twentieth of its responses in 500 ms, and with fewer than 8 responses the limit was not raised.

The limit now moves by each response: down by a twelfth at a rejection or a missed objective, up by 1/128 at a fast response and by 1/768 at another one. While another failure domain has room it also rises by an eighth every 100 ms, so that an overload that began too early ends. A response that takes over twice the usual time and half the objective shows a full server like a rejection (congestion.c, formerly rejection_rate.c): at an equilibrium with few rejections an instance took full domains for free ones and was the only one not to limit.

--- a/include/chervilmast/admission.h
+++ b/include/chervilmast/admission.h
@@ -18,6 +18,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "chervilmast/congestion.h"
 #include "chervilmast/route_demand.h"
 
 /** Maximum number of routes of a service; further ones are not limited. */
@@ -53,6 +54,7 @@
 	uint64_t completed;
 	uint32_t started;
 	uint32_t recent_started;
+
 	uint32_t answered;
 	uint32_t rejected;
 	uint32_t slowness_per_mille;
@@ -180,16 +182,27 @@
 bool cm_admission_is_calm(const struct cm_admission *admission);
 
 /**
- * cm_admission_server_rejected() - record which server rejected a request
+ * cm_admission_answered() - record a response other than a rejection
+ * @admission: the admission
+ * @now_ms: current time, ms
+ * @route: route of the request, one of @routes of @admission
+ * @took_ms: time from the request to the acknowledgment of the response, ms
+ */
+void cm_admission_answered(struct cm_admission *admission, uint64_t now_ms,
+			   struct cm_route_demand *route, uint32_t took_ms);
+
+/**
+ * cm_admission_rejected() - record that a server rejected a request
  * @admission: the admission
  * @now_ms: current time, ms
+ * @route: route of the request, one of @routes of @admission
  * @token: token of the server
  *
  * Rejections are evidence of overload only when they come from more than one
  * server.
  */
-void cm_admission_server_rejected(struct cm_admission *admission,
-				  uint64_t now_ms, uint32_t token);
+void cm_admission_rejected(struct cm_admission *admission, uint64_t now_ms,
+			   struct cm_route_demand *route, uint32_t token);
 
 /**
  * cm_admission_update_is_due() - whether cm_admission_update() is to be called
@@ -207,15 +220,15 @@
  * @now_ms: current time, ms
  * @capacity: estimated capacity of this instance, us of work per second; 0 when
  *            unknown
- * @has_room: servers of another failure domain have room for requests, so that
- *            an overload does not begin
+ * @others_congestion: least congestion of the other failure domains that new
+ *                     flows can reach, thousandths; CM_CONGESTION_FULL for none
  *
  * After CM_ADMISSION_PAUSE_MS without a call, the process was paused: the
  * packets that waited arrive at once and are no measure of demand. Then all
  * counts are discarded and an overload ends.
  */
 void cm_admission_update(struct cm_admission *admission, uint64_t now_ms,
-			 uint64_t capacity, bool has_room);
+			 uint64_t capacity, uint32_t others_congestion);
 
 /**
  * cm_admission_decide() - decide on a request
--- a/include/chervilmast/route_demand.h
+++ b/include/chervilmast/route_demand.h
@@ -106,6 +106,19 @@
  */
 void cm_route_demand_rejected(struct cm_route_demand *demand, uint64_t now_ms);
 
+/**
+ * cm_route_demand_is_slow() - whether a response time shows that the server is
+ * full
+ * @demand: the demand
+ * @took_ms: time from the request to the acknowledgment of the response, ms
+ *
+ * Well below the objective, waiting costs callers nothing.
+ *
+ * Return: true when it is over twice the usual time and half of the objective.
+ */
+bool cm_route_demand_is_slow(const struct cm_route_demand *demand,
+			     uint32_t took_ms);
+
 /**
  * cm_route_demand_flow_shape() - record whether a flow carried a second request
  * @demand: the demand
--- a/include/chervilmast/server_pool.h
+++ b/include/chervilmast/server_pool.h
@@ -13,7 +13,7 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
-#include "chervilmast/rejection_rate.h"
+#include "chervilmast/congestion.h"
 #include "chervilmast/response_time.h"
 
 /** Number of hash buckets of pools; a power of two. */
@@ -29,8 +29,8 @@
  * @capacity: allocated length of @members
  * @next_index: index in @members at which the next choice begins
  * @usable_count: number of usable members at the last update of the pool's sums
- * @rejections: share of this instance's requests that the members rejected; 0
- *              for services whose requests are not observed
+ * @congestion: congestion of the members, as the requests of this instance show
+ *              it; 0 for services whose requests are not observed
  * @link: link in the pool
  */
 struct cm_server_group {
@@ -40,7 +40,7 @@
 	uint32_t capacity;
 	uint32_t next_index;
 	uint32_t usable_count;
-	struct cm_rejection_rate rejections;
+	struct cm_congestion congestion;
 	LIST_ENTRY(cm_server_group) link;
 };
 
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -27,14 +27,6 @@
  * Well below the objective, waiting costs callers nothing.
  */
 #define OBJECTIVE_DIVISOR 2
-/**
- * Response time above which the limit is lowered, thousandths of the usual one.
- */
-#define TOO_SLOW_PER_MILLE 3500
-/**
- * Response time below which the limit is raised, thousandths of the usual one.
- */
-#define RAISE_PER_MILLE 2500
 /**
  * Response time below which servers have free slots, thousandths of the usual
  * one.
@@ -51,12 +43,24 @@
 /** Time for which the rejection of a second server counts, ms. */
 #define REJECTING_MS 1000
 /**
- * Divisors of the steps of the limit at an update. The limit is lowered slowly,
- * as its effect on responses shows only after they have left the queues.
+ * Divisors of the steps of the limit at a response: at a rejection or one that
+ * misses the objective, at one that shows free slots, and at any other. In
+ * equilibrium, servers reject a few percent of the requests, so that their
+ * slots are hardly ever idle.
+ */
+#define LOWER_DIVISOR 12
+#define RAISE_FAST_DIVISOR 128
+#define RAISE_DIVISOR 768
+/**
+ * Divisor of the step of the limit at an update while another failure domain
+ * has room, so that an overload that began too early ends.
  */
-#define LOWER_DIVISOR 16
-#define RAISE_DIVISOR 64
-#define RAISE_FAST_DIVISOR 16
+#define RAISE_ROOM_DIVISOR 8
+/**
+ * Congestion from which a failure domain has no room for further requests,
+ * thousandths.
+ */
+#define CONGESTED_PER_MILLE 200
 /** The limit is not lowered below the capacity divided by this. */
 #define LIMIT_MIN_DIVISOR 2
 /** Maximum of the limit, in multiples of the capacity or completed work. */
@@ -166,15 +170,6 @@
 	return !admission->is_overloaded && !admission->exceeded_ms;
 }
 
-void cm_admission_server_rejected(struct cm_admission *admission,
-				  uint64_t now_ms, uint32_t token)
-{
-	if (admission->rejecting_ms && admission->rejecting != token)
-		admission->rejecting_others_ms = admission->rejecting_ms;
-	admission->rejecting = token;
-	admission->rejecting_ms = now_ms;
-}
-
 static uint64_t work_per_s(uint32_t count, uint32_t work_us, uint32_t span_ms)
 {
 	return (uint64_t)count * work_us * MS_PER_S / span_ms;
@@ -347,38 +342,57 @@
 	       max_u64(admission->capacity, admission->evidence.completed);
 }
 
+static void clamp_limit(struct cm_admission *admission)
+{
+	uint64_t least = least_limit(admission);
+	uint64_t greatest = greatest_limit(admission);
+
+	if (admission->limit < least)
+		admission->limit = least;
+	if (admission->limit > greatest)
+		admission->limit = greatest;
+}
+
 /*
- * Too few responses don't show that servers have free slots: servers that don't
- * answer at all reject nothing either.
+ * Moves the limit by each response rather than by the responses of a period, of
+ * which a small instance has too few.
  */
-static void raise_limit(struct cm_admission *admission)
+static void follow_answer(struct cm_admission *admission,
+			  const struct cm_route_demand *route, uint32_t took_ms)
 {
-	const struct cm_admission_evidence *evidence = &admission->evidence;
+	uint64_t took = (uint64_t)took_ms * US_PER_MS * PER_MILLE /
+			(route->usual_us + 1);
 
-	if (evidence->answered < ANSWERED_MIN)
-		return;
-	if (evidence->slowness_per_mille < FAST_PER_MILLE &&
-	    !evidence->rejected)
+	if (route->objective_ms && took_ms > route->objective_ms)
+		admission->limit -= admission->limit / LOWER_DIVISOR;
+	else if (took < FAST_PER_MILLE)
 		admission->limit += admission->limit / RAISE_FAST_DIVISOR;
-	else if (evidence->slowness_per_mille < RAISE_PER_MILLE)
+	else
 		admission->limit += admission->limit / RAISE_DIVISOR;
+	clamp_limit(admission);
 }
 
-static void adapt_limit(struct cm_admission *admission)
+void cm_admission_answered(struct cm_admission *admission, uint64_t now_ms,
+			   struct cm_route_demand *route, uint32_t took_ms)
 {
-	uint32_t slowness = admission->evidence.slowness_per_mille;
-	uint64_t least = least_limit(admission);
-	uint64_t greatest = greatest_limit(admission);
+	cm_route_demand_answered(route, now_ms, took_ms,
+				 cm_admission_is_calm(admission));
+	if (admission->is_overloaded)
+		follow_answer(admission, route, took_ms);
+}
 
-	if (rejections_are_many(&admission->evidence) ||
-	    slowness > TOO_SLOW_PER_MILLE)
-		admission->limit -= admission->limit / LOWER_DIVISOR;
-	else
-		raise_limit(admission);
-	if (admission->limit < least)
-		admission->limit = least;
-	if (admission->limit > greatest)
-		admission->limit = greatest;
+void cm_admission_rejected(struct cm_admission *admission, uint64_t now_ms,
+			   struct cm_route_demand *route, uint32_t token)
+{
+	cm_route_demand_rejected(route, now_ms);
+	if (admission->rejecting_ms && admission->rejecting != token)
+		admission->rejecting_others_ms = admission->rejecting_ms;
+	admission->rejecting = token;
+	admission->rejecting_ms = now_ms;
+	if (!admission->is_overloaded)
+		return;
+	admission->limit -= admission->limit / LOWER_DIVISOR;
+	clamp_limit(admission);
 }
 
 /* Sets @since_ms to the time since when @condition holds. */
@@ -391,11 +405,12 @@
 }
 
 static void check_begin(struct cm_admission *admission, uint64_t now_ms,
-			bool has_room)
+			uint32_t others_congestion)
 {
 	if (admission->exceeded_ms &&
 	    now_ms >= admission->exceeded_ms + EXCEEDED_MS &&
-	    responses_show_overload(admission, now_ms) && !has_room &&
+	    responses_show_overload(admission, now_ms) &&
+	    others_congestion >= CONGESTED_PER_MILLE &&
 	    !cm_switched_off(CM_SWITCH_ADMISSION))
 		begin_overload(admission, now_ms);
 }
@@ -432,7 +447,7 @@
 }
 
 void cm_admission_update(struct cm_admission *admission, uint64_t now_ms,
-			 uint64_t capacity, bool has_room)
+			 uint64_t capacity, uint32_t others_congestion)
 {
 	if (now_ms >= admission->updated_ms + CM_ADMISSION_PAUSE_MS)
 		restart(admission, now_ms);
@@ -445,10 +460,12 @@
 		    now_ms);
 	track_since(&admission->slow_ms, admission->evidence.is_slow, now_ms);
 	if (!admission->is_overloaded) {
-		check_begin(admission, now_ms, has_room);
+		check_begin(admission, now_ms, others_congestion);
 		return;
 	}
-	adapt_limit(admission);
+	if (others_congestion < CONGESTED_PER_MILLE)
+		admission->limit += admission->limit / RAISE_ROOM_DIVISOR;
+	clamp_limit(admission);
 	check_end(admission, now_ms);
 }
 
--- a/src/core/route_demand.c
+++ b/src/core/route_demand.c
@@ -15,6 +15,10 @@
 #define USUAL_DIVISOR 32
 /** Divisor of the weight of a flow in the share of long flows. */
 #define SHAPE_DIVISOR 16
+/** Multiple of the usual response time above which a response is slow. */
+#define SLOW_FACTOR 2
+/** A response is slow only above the objective divided by this. */
+#define OBJECTIVE_DIVISOR 2
 /** Maximum response time that is used, ms. */
 #define TOOK_MAX_MS 10000
 
@@ -101,6 +105,15 @@
 	current_window(demand, now_ms)->rejected++;
 }
 
+bool cm_route_demand_is_slow(const struct cm_route_demand *demand,
+			     uint32_t took_ms)
+{
+	return demand->objective_ms &&
+	       took_ms > demand->objective_ms / OBJECTIVE_DIVISOR &&
+	       (uint64_t)took_ms * US_PER_MS >
+		       (uint64_t)demand->usual_us * SLOW_FACTOR;
+}
+
 void cm_route_demand_flow_shape(struct cm_route_demand *demand, bool is_long)
 {
 	demand->long_per_mille -= demand->long_per_mille / SHAPE_DIVISOR;
--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -9,15 +9,14 @@
 /**
  * A full server counts as clearly more loaded than the others when it has more
  * flows than their mean by this many standard deviations of a random number of
- * flows. At twice the mean, one server in twenty counted when each had four
- * flows on average, and was avoided by all instances until the next report.
+ * flows. With fewer, many servers are above by chance, and all instances avoid
+ * the same ones until the next report.
  */
 #define CLEARLY_MORE_DEVIATIONS 4
 /**
  * Weight of the load estimated from own flows for a long flow; that of the
- * known load is 1. In trials of the model in test_steer_placement.c the busiest
- * server had on average 1.12 (1,600 flows) and 1.33 (400 flows) times the mean
- * load with weight 3, 1.15 and 1.35 with weight 0.
+ * known load is 1. The estimate differs from instance to instance, so that they
+ * do not all follow the same known loads.
  */
 #define ESTIMATE_WEIGHT 3
 /**
@@ -26,10 +25,11 @@
  */
 #define REMOTE_COST 1000
 /**
- * Added to the cost of the servers of a failure domain that rejects all
- * requests, thousandths of the cost of an idle server.
+ * Added to the cost of the servers of a failure domain whose congestion is
+ * CM_CONGESTION_FULL, thousandths of the cost of an idle server. From a
+ * congestion of a fifth on, another domain costs less.
  */
-#define REJECTIONS_COST 5000
+#define CONGESTION_COST 5000
 /**
  * Added to the cost of a server in its cold start, thousandths of the cost of
  * an idle server.
@@ -469,18 +469,14 @@
 	       now_ms < server->health.answered_ms + ANSWER_RECENT_MS;
 }
 
-/*
- * Cost that is common to the servers of a group: that of another failure domain
- * and that of rejections. The latter moves flows to a domain with room once
- * the servers of the own domain reject a fifth of the requests.
- */
+/* Cost that is common to the servers of a group. */
 static uint64_t domain_cost(const struct cm_server_group *group,
 			    const struct cm_steer *steer, uint64_t now_ms)
 {
-	uint64_t rejected = cm_rejection_rate_get(&group->rejections, now_ms);
-	uint64_t cost = rejected * REJECTIONS_COST / PER_MILLE;
+	uint64_t congestion = cm_congestion_get(&group->congestion, now_ms);
+	uint64_t cost = congestion * CONGESTION_COST / CM_CONGESTION_FULL;
 
-	if (cm_switched_off(CM_SWITCH_REJECTIONS_COST))
+	if (cm_switched_off(CM_SWITCH_CONGESTION_COST))
 		cost = 0;
 	if (group->domain_hash != steer->domain_hash)
 		cost += REMOTE_COST;
--- a/src/core/steer_admission.c
+++ b/src/core/steer_admission.c
@@ -9,11 +9,6 @@
 #define US_PER_S 1000000ULL
 /** Time between two computations of the capacity, ms. */
 #define CAPACITY_TTL_MS 500
-/**
- * Share of rejected requests below which a failure domain has room,
- * thousandths.
- */
-#define ROOM_REJECTED_PER_MILLE 150
 /** Time between two reports of an overload that lasts, ms. */
 #define REPORT_INTERVAL_MS 1000
 /** Times from a caller's first SYN to its transmissions, ms. */
@@ -284,28 +279,31 @@
 }
 
 /*
- * Whether another failure domain has room for new flows: it has a usable server
- * and has not rejected many of the latest requests of this instance. A domain
- * that has got no request lately counts as one with room; the cost of the
- * rejections of the own domain then moves flows there.
+ * Least congestion of the other failure domains that have a usable server; a
+ * domain that has got no request lately counts as one with room. The cost of
+ * the congestion of the own domain then moves flows there.
  */
-static bool others_have_room(const struct cm_steer *steer,
-			     const struct cm_admission_service *service,
-			     uint64_t now_ms)
+static uint32_t others_congestion(const struct cm_steer *steer,
+				  const struct cm_admission_service *service,
+				  uint64_t now_ms)
 {
 	const struct cm_server_pool *pool =
 		cm_server_pools_find(&steer->servers.pools, service->hash);
 	const struct cm_server_group *group;
+	uint32_t least = CM_CONGESTION_FULL;
 
 	if (!pool || cm_switched_off(CM_SWITCH_ROOM_ELSEWHERE))
-		return false;
+		return least;
 	LIST_FOREACH(group, &pool->groups, link)
-	if (group->domain_hash != steer->domain_hash &&
-	    cm_rejection_rate_get(&group->rejections, now_ms) <
-		    ROOM_REJECTED_PER_MILLE &&
-	    usable_slots(steer, group, now_ms))
-		return true;
-	return false;
+	{
+		uint32_t per_mille =
+			cm_congestion_get(&group->congestion, now_ms);
+
+		if (group->domain_hash != steer->domain_hash &&
+		    per_mille < least && usable_slots(steer, group, now_ms))
+			least = per_mille;
+	}
+	return least;
 }
 
 /* Reports that don't fit are dropped; the totals go into the next one. */
@@ -365,7 +363,7 @@
 		update_capacity(steer, service, now_ms);
 		cm_admission_update(&service->admission, now_ms,
 				    service->capacity,
-				    others_have_room(steer, service, now_ms));
+				    others_congestion(steer, service, now_ms));
 		report_state(steer, service, was_overloaded, now_ms);
 	}
 }
@@ -482,31 +480,32 @@
 }
 
 /* A server that has left is in no group. */
-static void record_room(const struct cm_steer_server *server, uint64_t now_ms,
-			bool is_rejected)
+static void record_congestion(const struct cm_steer_server *server,
+			      uint64_t now_ms, bool is_full)
 {
 	if (server->group)
-		cm_rejection_rate_add(&server->group->rejections, now_ms,
-				      is_rejected);
+		cm_congestion_add(&server->group->congestion, now_ms, is_full);
 }
 
 /* Records the response that an acknowledgment may complete. */
 static void observe_ack(struct cm_steer *steer, uint64_t now_ms,
 			const struct cm_steer_packet *packet,
 			const struct cm_steer_server *server,
-			const struct cm_admission_service *service,
+			struct cm_admission_service *service,
 			struct cm_route_demand *route,
 			struct cm_flow_request *request)
 {
+	uint32_t took_ms;
+
 	if (!(packet->flags & CM_STEER_ACK) ||
 	    !cm_flow_request_acknowledge(request, packet->ack))
 		return;
 	if (!request->began_ms || request->state != CM_REQUEST_ANSWERED)
 		return;
-	record_room(server, now_ms, false);
-	cm_route_demand_answered(
-		route, now_ms, (uint32_t)(steer->active_ms - request->began_ms),
-		cm_admission_is_calm(&service->admission));
+	took_ms = (uint32_t)(steer->active_ms - request->began_ms);
+	record_congestion(server, now_ms,
+			  cm_route_demand_is_slow(route, took_ms));
+	cm_admission_answered(&service->admission, now_ms, route, took_ms);
 }
 
 /*
@@ -528,9 +527,8 @@
 		return;
 	if (!cm_flow_request_end(request) || !request->began_ms)
 		return;
-	record_room(server, now_ms, true);
-	cm_route_demand_rejected(route, now_ms);
-	cm_admission_server_rejected(&service->admission, now_ms, flow->token);
+	record_congestion(server, now_ms, true);
+	cm_admission_rejected(&service->admission, now_ms, route, flow->token);
 }
 
 /* Records a flow that ends after one request; see admit_data() for others. */
