--- a/include/chervilmast/admission.h
+++ b/include/chervilmast/admission.h
@@ -45,8 +45,11 @@
  * @slowness_per_mille: mean response time of @answered, thousandths of the
  *                      usual one; 0 for too few responses
  * @is_slow: these response times show an overload
+ * @others_congestion: least congestion of the other failure domains that new
+ *                     flows can reach, thousandths; CM_CONGESTION_FULL for none
  *
- * All but @rejected cover only routes for which the work of a request is known.
+ * All but @rejected and @others_congestion cover only routes for which the work
+ * of a request is known.
  */
 struct cm_admission_evidence {
 	uint64_t demand;
@@ -59,6 +62,7 @@
 	uint32_t rejected;
 	uint32_t slowness_per_mille;
 	bool is_slow;
+	uint32_t others_congestion;
 };
 
 /**
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -395,6 +395,11 @@
 	clamp_limit(admission);
 }
 
+static bool others_have_room(const struct cm_admission *admission)
+{
+	return admission->evidence.others_congestion < CONGESTED_PER_MILLE;
+}
+
 /* Sets @since_ms to the time since when @condition holds. */
 static void track_since(uint64_t *since_ms, bool condition, uint64_t now_ms)
 {
@@ -404,13 +409,12 @@
 		*since_ms = now_ms;
 }
 
-static void check_begin(struct cm_admission *admission, uint64_t now_ms,
-			uint32_t others_congestion)
+static void check_begin(struct cm_admission *admission, uint64_t now_ms)
 {
 	if (admission->exceeded_ms &&
 	    now_ms >= admission->exceeded_ms + EXCEEDED_MS &&
 	    responses_show_overload(admission, now_ms) &&
-	    others_congestion >= CONGESTED_PER_MILLE &&
+	    !others_have_room(admission) &&
 	    !cm_switched_off(CM_SWITCH_ADMISSION))
 		begin_overload(admission, now_ms);
 }
@@ -454,16 +458,17 @@
 	admission->updated_ms = now_ms;
 	admission->capacity = capacity;
 	collect_evidence(admission, now_ms);
+	admission->evidence.others_congestion = others_congestion;
 	track_since(&admission->exceeded_ms,
 		    now_ms >= admission->counted_ms + COUNTED_MS &&
 			    is_exceeded(admission),
 		    now_ms);
 	track_since(&admission->slow_ms, admission->evidence.is_slow, now_ms);
 	if (!admission->is_overloaded) {
-		check_begin(admission, now_ms, others_congestion);
+		check_begin(admission, now_ms);
 		return;
 	}
-	if (others_congestion < CONGESTED_PER_MILLE)
+	if (others_have_room(admission))
 		admission->limit += admission->limit / RAISE_ROOM_DIVISOR;
 	clamp_limit(admission);
 	check_end(admission, now_ms);
--- a/src/daemon/steer_log.c
+++ b/src/daemon/steer_log.c
@@ -132,8 +132,8 @@
 	       "service=%s state=%s lasted_ms=%llu demand_slots_milli=%llu "
 	       "capacity_slots_milli=%llu limit_slots_milli=%llu "
 	       "completed_slots_milli=%llu requests_per_s=%u answered=%u "
-	       "rejected=%u slowness_per_mille=%u admitted=%u deferred=%u "
-	       "shed=%u",
+	       "rejected=%u slowness_per_mille=%u others_congestion=%u "
+	       "admitted=%u deferred=%u shed=%u",
 	       report->service, states[report->kind],
 	       (unsigned long long)report->lasted_ms,
 	       (unsigned long long)(evidence->demand / WORK_US_PER_MILLISLOT),
@@ -142,8 +142,9 @@
 	       (unsigned long long)(evidence->completed /
 				    WORK_US_PER_MILLISLOT),
 	       evidence->started, evidence->answered, evidence->rejected,
-	       evidence->slowness_per_mille, report->totals.admitted,
-	       report->totals.deferred, report->totals.shed);
+	       evidence->slowness_per_mille, evidence->others_congestion,
+	       report->totals.admitted, report->totals.deferred,
+	       report->totals.shed);
 }
 
 static void log_admission_reports(struct cm_steer *steer)
