--- a/tests/process/instance.c
+++ b/tests/process/instance.c
@@ -34,6 +34,7 @@
  * @restart_ms: time at which it is restarted; 0 while a process runs
  * @exit_deadline_ms: deadline of its exit after SIGTERM
  * @pid: process id; 0 while no process runs
+ * @build: index in @programs of its program
  * @misses: consecutive failed readiness checks; accessed by ck_pr
  * @is_stopping: SIGTERM was sent
  * @is_killed: SIGKILL was sent
@@ -42,6 +43,7 @@
 	uint64_t restart_ms;
 	uint64_t exit_deadline_ms;
 	pid_t pid;
+	uint32_t build;
 	uint32_t misses;
 	bool is_stopping;
 	bool is_killed;
@@ -49,7 +51,7 @@
 
 static struct instance instances[PROCESS_ALL_INSTANCES];
 static pthread_t watchers[PROCESS_ALL_INSTANCES];
-static const char *binary;
+static const char *programs[PROCESS_BUILDS];
 static const char *directory;
 static uint16_t proxy_port;
 static uint32_t stop_watching;
@@ -123,6 +125,7 @@
 
 static void exec_program(int instance)
 {
+	const char *program = programs[instances[instance].build];
 	char path[PATH_SIZE];
 	int fd = open_log(instance);
 
@@ -131,7 +134,7 @@
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 	}
-	execl(binary, binary, "steer", "--settings", path, (char *)NULL);
+	execl(program, program, "steer", "--settings", path, (char *)NULL);
 	_exit(127);
 }
 
@@ -152,13 +155,16 @@
 	}
 }
 
-void instances_start(const char *program, const char *dir, uint16_t store_port)
+void instances_start(const char *program, const char *previous, const char *dir,
+		     uint16_t store_port)
 {
-	binary = program;
+	programs[0] = program;
+	programs[1] = previous ? previous : program;
 	directory = dir;
 	proxy_port = store_port;
 	for (int i = 0; i < PROCESS_ALL_INSTANCES; i++) {
 		write_settings(i);
+		instances[i].build = i % PROCESS_BUILDS;
 		start_process(i);
 	}
 }
@@ -207,8 +213,10 @@
 
 		if (self->pid && waitpid(self->pid, &status, WNOHANG) > 0)
 			handle_exit(i, status);
-		if (!self->pid && now >= self->restart_ms)
+		if (!self->pid && now >= self->restart_ms) {
+			self->build = (self->build + 1) % PROCESS_BUILDS;
 			start_process(i);
+		}
 		if (self->pid && self->is_stopping && !self->is_killed &&
 		    now > self->exit_deadline_ms && now > fault_end_ms()) {
 			violation("instance %d did not stop in time", i);
--- a/tests/process/main.c
+++ b/tests/process/main.c
@@ -1,7 +1,9 @@
 /*
- * process SEED SECONDS|SCENARIO PROGRAM DIRECTORY [NET]: runs instances of
- * PROGRAM under load, with random faults from SEED for SECONDS or with those of
- * SCENARIO, then without faults, and prints the results of the requests.
+ * process SEED SECONDS|SCENARIO PROGRAM DIRECTORY [NET [PREVIOUS]]: runs
+ * instances of PROGRAM under load, with random faults from SEED for SECONDS or
+ * with those of SCENARIO, then without faults, and prints the results of the
+ * requests. With PREVIOUS, the program of another build, instances of both run
+ * side by side and change builds when they restart.
  */
 #include <arpa/inet.h>
 #include <poll.h>
@@ -296,7 +298,8 @@
 	callers_start(&rng);
 	if (scenario && scenario->prepare)
 		scenario->prepare();
-	instances_start(argv[3], argv[4], proxy_start(store_port));
+	instances_start(argv[3], argc > 6 ? argv[6] : NULL, argv[4],
+			proxy_start(store_port));
 	instances_watch();
 	fault_extend(now_ms() + WARM_UP_MS);
 	run(WARM_UP_MS, 0);
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -22,6 +22,7 @@
  * domain, and of instances and backend servers in all domains. */
 #define PROCESS_DOMAINS 3
 #define PROCESS_INSTANCES_PER_DOMAIN 2
+#define PROCESS_BUILDS 2
 #define PROCESS_SERVERS_PER_DOMAIN 3
 #define PROCESS_ALL_INSTANCES (PROCESS_DOMAINS * PROCESS_INSTANCES_PER_DOMAIN)
 #define PROCESS_ALL_SERVERS (PROCESS_DOMAINS * PROCESS_SERVERS_PER_DOMAIN)
@@ -104,8 +105,11 @@
 
 /* Instances of the program. */
 
-/** instances_start() - start all instances of @program, with files in @dir */
-void instances_start(const char *program, const char *dir, uint16_t store_port);
+/** instances_start() - start all instances of @program, with files in @dir.
+ * With @previous, the program of another build, every second instance starts
+ * with it, and each restart of an instance changes its build. */
+void instances_start(const char *program, const char *previous, const char *dir,
+		     uint16_t store_port);
 
 /**
  * instances_block_log() - give an instance a full pipe as its log
