--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 INCLUDE_DIR = $(DESTDIR)$(PREFIX)/include/chervilmast
 LIB_DIR = $(DESTDIR)$(PREFIX)/lib
 
-.PHONY: measure-steer soak-processes process-check all install embed packages packet-rate run tsan check unit soak \
+.PHONY: measure-steer soak-processes process-check upgrade-check all install embed packages packet-rate run tsan check unit soak \
 	soak-check mutants measure measure-admission membership-figures \
 	format format-check lint clean
 .SECONDARY:
@@ -204,6 +204,11 @@
 # another server answers the retransmitted SYN. From seed 100 on, the store also
 # comes back from older copies.
 PROCESS_SEEDS = 2 7 38 101
+# Process tests of the present build beside the build in production.
+upgrade-check: packages
+	$(MAKE) $(BUILD)/chervilmast $(BUILD)/process
+	tests/scripts/upgrade.sh $(BUILD)
+
 process-check: packages
 	$(MAKE) $(BUILD)/chervilmast $(BUILD)/process
 	tests/scripts/process.sh $(BUILD) 8 $(PROCESS_SEEDS)
