--- a/include/chervilmast/steer_explain.h
+++ b/include/chervilmast/steer_explain.h
@@ -57,7 +57,8 @@
  * @slowness: cost of a service time above the mean
  * @failures: cost of failed flows or of an ejection
  * @unproven: cost of no recent answer, for a flow whose last SYN got no answer
- * @other_domain: cost of another failure domain
+ * @other_domain: cost of another failure domain, and of the congestion of the
+ *                server's domain
  * @cold_start: cost of its cold start
  */
 struct cm_explained_cost {
