Wait until the paused instance of the explain test is stopped

A stop signal takes effect in each thread when that thread takes it, so a thread on another processor can still answer. The test now waits until every thread is stopped.

--- a/tests/scripts/cases/explain.sh
+++ b/tests/scripts/cases/explain.sh
@@ -100,8 +100,20 @@
 	curl -s -w '%{http_code}\n' "http://127.0.0.6:19100/explain$query"
 done
 
+# Waits until all threads of the instance are stopped: one that runs on another
+# processor may still answer after the signal was sent.
+wait_until_stopped() {
+	for _ in $(seq 600); do
+		grep -h '^State:' /proc/"$pid"/task/*/status |
+			grep -qv '(stopped)' || return
+		sleep 0.05
+	done
+	echo "timed out: the instance is not stopped"
+}
+
 echo '# the instance is paused'
 kill -STOP $pid
+wait_until_stopped
 run --settings settings.json --route 198.18.0.1:443
 kill -CONT $pid
 
