Create the log of the reload test before it is read

The shell that runs the program in the background creates the file when it is scheduled, which may be after the first look at it. Not a fault of the program.

--- a/tests/scripts/cases/steer_reload.sh
+++ b/tests/scripts/cases/steer_reload.sh
@@ -40,7 +40,9 @@
 }
 
 settings 3000 '"127.0.0.4:18166"' ''
-chervilmast steer --settings settings.json >log 2>&1 &
+# The process creates the file only once it is scheduled.
+: >log
+chervilmast steer --settings settings.json >>log 2>&1 &
 pid=$!
 wait_for started 1
 
