--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -83,6 +83,8 @@
         path, _, query = target.partition("?")
         query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         status, answer = await self.store.handle(method, path, query, body)
+        if status == 200 and path == "/-/kv-txn":
+            self.store.writers.update((put["key"], self.name) for put in body.get("puts", []))
         blocked = await self.blocked(writer)  # the link may have gone meanwhile
         return blocked if blocked else (status, answer)
 
@@ -97,7 +99,7 @@
         self.dropped = 0  # history up to this revision is gone
         self.changed = asyncio.Event()
         self.calls = 0
-        self.on_change = None
+        self.writers = {}  # the machine that last wrote a key under a condition
 
     async def door(self, name):
         door = Door(self, name)
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -160,6 +160,7 @@
         self.cold_s, self.cold_until, self.cold_windows = cold_s, 0.0, []
         self.flows, self.running, self.waiting = {}, 0, []
         self.reports, self.opened = True, []  # opened: (sent, arrived) of opening packets
+        self.taken = []  # as opened, with the machine and the port
         self.transport, self.listener, self.tasks = None, None, []
 
     async def start(self):
@@ -252,6 +253,7 @@
             sent = self.world.syn_sent.get((key[1], packet.ack))
             now = self.world.now()
             self.opened.append((sent, now))
+            self.taken.append((sent, now, self.world.syn_via.get((key[1], packet.ack)), key[1]))
             self.world.note("syn host=%s sport=%d copy=%d sent=%.3f via=%s", self.ident, key[1],
                             packet.ack, sent if sent is not None else -1,
                             self.world.syn_via.get((key[1], packet.ack)))
@@ -599,6 +601,10 @@
 
     # What the ends of flows see.
 
+    @staticmethod
+    def opened_by(host):
+        return host.taken
+
     def flow_opened(self, key, host):
         self.opened_at[key] = (host, self.now())
 
