--- a/review/1/case.py
+++ b/review/1/case.py
@@ -44,7 +44,7 @@
         world.spawn(world.load(zone, route, 20))
     await asyncio.sleep(6)
     results, flows, crashes = [], [], {}
-    for victim in hosts[:3]:  # one of 14 hosts at a time
+    for victim in hosts[:4]:  # one of 14 hosts at a time
         if trouble:
             victim.crash()
             await asyncio.sleep(RESTART_S)
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -84,7 +84,10 @@
         query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         status, answer = await self.store.handle(method, path, query, body)
         if status == 200 and path == "/-/kv-txn":
-            self.store.writers.update((put["key"], self.name) for put in body.get("puts", []))
+            for put in body.get("puts", []):
+                self.store.writers[put["key"]] = self.name
+                self.store.note("written by=%s key=%s value=%s", self.name, put["key"],
+                                unpack(base64.b64decode(put["value"])))
         blocked = await self.blocked(writer)  # the link may have gone meanwhile
         return blocked if blocked else (status, answer)
 
@@ -93,12 +96,13 @@
     """Keys, revisions, history and leases."""
 
     def __init__(self, now):
-        self.now = now
+        self.now, self.note = now, lambda *values: None
         self.items, self.history, self.revision = {}, [], 100
         self.leases, self.next_lease = {}, 7000
         self.dropped = 0  # history up to this revision is gone
         self.changed = asyncio.Event()
         self.calls = 0
+        self.is_down, self.down_s = False, 0.0
         self.writers = {}  # the machine that last wrote a key under a condition
 
     async def door(self, name):
@@ -129,7 +133,19 @@
             self.record({"key": key, "revision": self.revision, "deleted": True})
         return self.revision
 
+    def stop(self):
+        self.is_down, self.down_s = True, self.now()
+
+    def go_on(self):
+        """Ends an outage; leases run on from where they were. Returns its length."""
+        paused_s = self.now() - self.down_s
+        self.is_down = False
+        self.leases = {k: (end + paused_s, ttl) for k, (end, ttl) in self.leases.items()}
+        return paused_s
+
     def expire(self):
+        if self.is_down:
+            return
         for lease, (end, ttl) in list(self.leases.items()):
             if self.now() >= end:
                 del self.leases[lease]
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -192,7 +192,7 @@
         writer.close()
 
     def write_entry(self):
-        if not self.reports:
+        if not self.reports or self.world.store.is_down:
             return
         self.sequence += 1
         left = max(0, int((self.cold_until - self.world.now()) * 1000))
@@ -449,11 +449,12 @@
         self.breaks, self.resets, self.opened_at = [], [], {}
         self.next_sport, self.next_request, self.tasks = 20000, 0, []
         self.store = Store(self.now)
+        self.store.note = self.note
         self.instances = []
         for zone, count in zip(self.zones, per_zone):
             for index in range(count):
                 self.instances.append(Instance(self, "edge-%s-%d" % (zone, index + 1), zone, index))
-        self.callers, self.version = {}, 0
+        self.callers, self.version = {}, 0  # sockets of requesters; last desired state
 
     def now(self):
         return time.monotonic() - self.begin
@@ -536,7 +537,7 @@
     async def expire_entries(self):
         """The store removes an entry after three heartbeat intervals of silence."""
         while True:
-            for host in self.hosts:
+            for host in [] if self.store.is_down else self.hosts:
                 key = "servers/" + host.ident
                 newest = max((h for h in self.hosts if h.ident == host.ident),
                              key=lambda h: h.started_s)
@@ -547,6 +548,21 @@
                     self.note("store entry of host id=%s removed", host.ident)
             await asyncio.sleep(0.05)
 
+    def store_down(self, mode):
+        """The store is down for all, hosts too; leases and entries pause."""
+        self.note("store down mode=%s", mode)
+        self.store.stop()
+        for instance in self.instances:
+            instance.door.set(mode)
+
+    def store_up(self):
+        self.note("store up")
+        paused_s = self.store.go_on()
+        for host in self.hosts:
+            host.reported_s += paused_s
+        for instance in self.instances:
+            instance.door.set("ok")
+
     # The platform's router.
 
     def choose(self, flow):
