--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -159,8 +159,8 @@
         self.state, self.sequence, self.alive = "ready", 0, False
         self.cold_s, self.cold_until, self.cold_windows = cold_s, 0.0, []
         self.flows, self.running, self.waiting = {}, 0, []
-        self.reports, self.opened = True, []  # opened: (sent, arrived) of opening packets
-        self.taken = []  # as opened, with the machine and the port
+        self.reports = True  # whether it reaches the store
+        self.taken = []  # opening packets: when sent and arrived, through which machine, port
         self.transport, self.listener, self.tasks = None, None, []
 
     async def start(self):
@@ -252,11 +252,10 @@
             self.flows[key] = flow
             sent = self.world.syn_sent.get((key[1], packet.ack))
             now = self.world.now()
-            self.opened.append((sent, now))
-            self.taken.append((sent, now, self.world.syn_via.get((key[1], packet.ack)), key[1]))
+            via = self.world.syn_via.get((key[1], packet.ack))
+            self.taken.append((sent, now, via, key[1]))
             self.world.note("syn host=%s sport=%d copy=%d sent=%.3f via=%s", self.ident, key[1],
-                            packet.ack, sent if sent is not None else -1,
-                            self.world.syn_via.get((key[1], packet.ack)))
+                            packet.ack, sent if sent is not None else -1, via)
         flow.echo = packet.echo
         self.send(key, SYN | ACK, flow.seq, flow.got, flow.echo)
 
@@ -617,10 +616,6 @@
 
     # What the ends of flows see.
 
-    @staticmethod
-    def opened_by(host):
-        return host.taken
-
     def flow_opened(self, key, host):
         self.opened_at[key] = (host, self.now())
 
@@ -653,11 +648,11 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def max_in_second(arrivals, windows):
-    """Most requests that were sent and arrived inside one second within a cold window."""
+def max_in_second(host):
+    """Most requests that a host got, sent and arrived inside one second while it was cold."""
     most, at = 0, 0.0
-    times = [(s, a) for s, a in arrivals if s is not None and
-             any(b <= s and a <= e for b, e in windows)]
+    times = [(s, a) for s, a, _, _ in host.taken if s is not None and
+             any(b <= s and a <= e for b, e in host.cold_windows)]
     for start, _ in times:
         count = sum(1 for s, a in times if s >= start and a < start + 1.0)
         if count > most:
