--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback: the store, instances of the program, the
 platform's router, hosts and requesters. One process, one event loop."""
 import asyncio
+import ctypes
 import hashlib
 import os
 import random
@@ -27,10 +28,19 @@
 IDLE_TIMEOUT_MS = 15000
 
 
+RUN_LIMIT_S = 115  # start and end included
+LIBC = ctypes.CDLL(None)
+
+
 class CannotRun(Exception):
     pass
 
 
+def end_with_script():
+    """In a new process: it is killed when the script that started it ends in any way."""
+    LIBC.prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
+
+
 def fill_template(text, fields):
     """Fills in the settings template as DEPLOY.md says, as far as it is used."""
     def value(name, scope):
@@ -89,7 +99,8 @@
         env["CHERVILMAST_CONFIG"] = self.settings
         self.process = await asyncio.create_subprocess_exec(
             os.path.join(ROOT, "target/chervilmast"), "steer", cwd=ROOT, env=env,
-            stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
+            stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL,
+            preexec_fn=end_with_script)
         log.close()
         self.world.note("start instance=%s pid=%d", self.name, self.process.pid)
 
@@ -663,18 +674,23 @@
 def main(folder, build, play):
     """Runs a case; exit code 0: the rule held, 1: broken, 2: could not run."""
     async def run():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         world = build(folder)
         try:
-            await asyncio.wait_for(world.start(), 20)
-            broken = await asyncio.wait_for(
-                play(world, os.environ.get("TROUBLE", "1") != "0"), 110)
+            async def case():
+                await asyncio.wait_for(world.start(), 20)
+                return await play(world, os.environ.get("TROUBLE", "1") != "0")
+            broken = await asyncio.wait_for(case(), RUN_LIMIT_S)
             if world.breaks:
                 world.note("other breaks: %s", world.breaks[:5])
             return 1 if broken else 0
         finally:
             await world.finish()
+    code = 2  # also for a fault of the script itself
     try:
-        sys.exit(asyncio.run(run()))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        code = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
         print("could not run: %r" % error, file=sys.stderr)
-        sys.exit(2)
+    sys.exit(code)
