Forward flows of a restarted server under its old token

A server that restarts under its id accepts flows that instances place under the token of its earlier run, until they have read its new entry.

Cause: check_registry() took is_replaced of the earlier run as proof that all flows with its token are dead. Related evidence had the same fault: silence, a removal and a list of the source that concern the earlier run counted against flows of the later one.

Ruled out: a longer grace period before the reset, as a flow may be idle for as long as callers like; other tokens, as the previous landing has to read them.

Change: a packet with an earlier token is forwarded to the present run at the same address, under that run's token, and evidence is evaluated for that run alone. The server itself resets what it does not hold. A run at another address is no proof either, as another writer may have left that entry; it counts as a removal, which needs an observation that agrees.

--- a/include/chervilmast/counter.h
+++ b/include/chervilmast/counter.h
@@ -210,6 +210,8 @@
 	  "repeated SYNs of open flows dropped because their server has left") \
 	X(STEER_BY_TOKEN, "steer_by_token",                                    \
 	  "packets of open flows forwarded by their token")                    \
+	X(STEER_BY_EARLIER_TOKEN, "steer_by_earlier_token",                    \
+	  "packets forwarded to the present run of a server that restarted")   \
 	X(STEER_NO_ROUTE, "steer_no_route",                                    \
 	  "new flows reset because no route has their destination")            \
 	X(STEER_NO_PLAN, "steer_no_plan",                                      \
@@ -229,7 +231,7 @@
 	X(STEER_GONE_DRAINED, "steer_gone_drained",                            \
 	  "open flows reset as their server was removed after draining")       \
 	X(STEER_GONE_REPLACED, "steer_gone_replaced",                          \
-	  "open flows reset as a later run of their server is registered")     \
+	  "open flows reset as their server restarted at another address")     \
 	X(STEER_GONE_REMOVED, "steer_gone_removed",                            \
 	  "open flows reset as their server was removed without draining")     \
 	X(STEER_GONE_DOWN, "steer_gone_down",                                  \
--- a/include/chervilmast/steer_server.h
+++ b/include/chervilmast/steer_server.h
@@ -67,7 +67,7 @@
  * @listing: registration state
  * @listing_changed_ms: when @listing last changed, ms
  * @removed_ms: when its entry last disappeared, ms
- * @is_replaced: a later run under the same id was registered
+ * @is_replaced: another run under the same id was registered later
  * @acked_ms: when a caller last acknowledged new bytes of it at this instance,
  *            ms; 0 for never
  * @cold_until_ms: end of its cold start, ms
@@ -131,7 +131,7 @@
  * @suspects: servers that left a SYN unanswered and have not answered since
  * @by_token: buckets by token; servers that share a token in the order of their
  *            start
- * @by_id: buckets by id; the latest run of a server first
+ * @by_id: buckets by id; the run that was registered last first
  * @count: number of servers in @all
  * @earliest_left_ms: lower bound of the times at which servers in @all left,
  *                    ms; 0 when none has left
@@ -187,8 +187,8 @@
  * @now_ms: current time, ms
  * @server: set to the server; may be NULL
  *
- * A restart under a known id adds a separate server, and the earlier run is
- * marked as left.
+ * A restart under a known id adds a separate server, and the run that was
+ * registered before is marked as left.
  *
  * Return: 0, CM_E_STALE when a later run of the server is known, or
  * CM_E_MEMORY; the server may then be in the table without a pool, so that it
@@ -199,7 +199,8 @@
 			 struct cm_steer_server **server);
 
 /**
- * cm_steer_servers_find_by_id() - find the latest run of a server
+ * cm_steer_servers_find_by_id() - find the run of a server that was registered
+ * last
  * @servers: the table
  * @id: id of the server
  *
@@ -222,6 +223,23 @@
 cm_steer_servers_find_by_token(const struct cm_steer_servers *servers,
 			       uint32_t token);
 
+/**
+ * cm_steer_servers_find_successor() - find the run that receives the packets of
+ * a run which was replaced
+ * @servers: the table
+ * @server: the run
+ *
+ * Both runs have the same id and address, so that a flow with the token of
+ * @server may have been opened at the other run, before this or another
+ * instance knew of its start.
+ *
+ * Return: the run that was registered last, or NULL when this is @server or has
+ * another address.
+ */
+struct cm_steer_server *
+cm_steer_servers_find_successor(const struct cm_steer_servers *servers,
+				const struct cm_steer_server *server);
+
 /**
  * cm_steer_servers_set_listing() - set the registration state of a server
  * @servers: the table
--- a/src/core/steer.c
+++ b/src/core/steer.c
@@ -577,29 +577,40 @@
 		cm_steer_remove_flow(steer, flow);
 }
 
-static void forward_by_token(struct cm_steer *steer, uint64_t now_ms,
-			     const struct cm_steer_packet *packet,
-			     struct cm_steer_verdict *verdict)
+/*
+ * Forwards a packet with the token of an earlier run to the run that replaced
+ * it, under the token of that run, so that the following packets of the flow
+ * carry it. The server holds the flow if it was opened after the restart, and
+ * resets it otherwise. It counts in the load from the next packet on.
+ */
+static void forward_to_successor(struct cm_steer *steer, uint64_t now_ms,
+				 const struct cm_steer_packet *packet,
+				 const struct cm_steer_server *successor,
+				 struct cm_steer_verdict *verdict)
 {
 	struct cm_steer_gone_evidence evidence;
-	struct cm_steer_server *server;
-	struct cm_steer_packet delivered;
+	struct cm_steer_flow *flow =
+		cm_steer_flows_find(&steer->flows, &packet->key);
+
+	if (flow && flow->token == packet->token)
+		cm_steer_remove_flow(steer, flow);
+	if (cm_steer_gone_check(steer, now_ms, packet, successor, &evidence))
+		reset_gone_flow(steer, now_ms, packet, successor, &evidence,
+				verdict);
+	else
+		forward_to(steer, now_ms, successor,
+			   CM_C_STEER_BY_EARLIER_TOKEN, verdict);
+}
+
+static void forward_to_holder(struct cm_steer *steer, uint64_t now_ms,
+			      const struct cm_steer_packet *packet,
+			      struct cm_steer_server *server,
+			      struct cm_steer_verdict *verdict)
+{
+	struct cm_steer_gone_evidence evidence;
+	struct cm_steer_packet delivered = *packet;
 	bool is_admitted;
 
-	if (!packet->token) {
-		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_NO_TOKEN);
-		return;
-	}
-	server = cm_steer_servers_find_by_token(&steer->servers, packet->token);
-	if (!server) {
-		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_UNKNOWN_TOKEN);
-		return;
-	}
-	if (domain_out_grace_is_over(steer, now_ms, server)) {
-		set_verdict(verdict, CM_STEER_DROP, CM_C_DROP_DOMAIN_OUT);
-		return;
-	}
-	delivered = *packet;
 	is_admitted =
 		cm_steer_admit_packet(steer, now_ms, packet, server, verdict);
 	/* Data that does not reach the server is no request of the flow. */
@@ -616,6 +627,31 @@
 		forward_to(steer, now_ms, server, CM_C_STEER_BY_TOKEN, verdict);
 }
 
+static void forward_by_token(struct cm_steer *steer, uint64_t now_ms,
+			     const struct cm_steer_packet *packet,
+			     struct cm_steer_verdict *verdict)
+{
+	struct cm_steer_server *server, *successor;
+
+	if (!packet->token) {
+		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_NO_TOKEN);
+		return;
+	}
+	server = cm_steer_servers_find_by_token(&steer->servers, packet->token);
+	if (!server) {
+		set_verdict(verdict, CM_STEER_DROP, CM_C_STEER_UNKNOWN_TOKEN);
+		return;
+	}
+	successor = cm_steer_servers_find_successor(&steer->servers, server);
+	if (domain_out_grace_is_over(steer, now_ms,
+				     successor ? successor : server))
+		set_verdict(verdict, CM_STEER_DROP, CM_C_DROP_DOMAIN_OUT);
+	else if (successor)
+		forward_to_successor(steer, now_ms, packet, successor, verdict);
+	else
+		forward_to_holder(steer, now_ms, packet, server, verdict);
+}
+
 void cm_steer_packet(struct cm_steer *steer, uint64_t now_ms,
 		     const struct cm_steer_packet *packet,
 		     struct cm_steer_verdict *verdict)
--- a/src/core/steer_gone.c
+++ b/src/core/steer_gone.c
@@ -182,7 +182,8 @@
  * Evidence from the registry; valid only while the registry is reachable and no
  * grace period after an outage is running. A server that has lost only its
  * connection to the registry still answers callers. So does one that was
- * draining for longer than its entry lasts.
+ * draining for longer than its entry lasts, and one under whose id another
+ * writer left an entry with another address.
  */
 static bool check_registry(struct cm_steer *steer, uint64_t now_ms,
 			   const struct cm_steer_server *server,
@@ -192,11 +193,11 @@
 	    server->listing != CM_LEFT)
 		return false;
 	evidence->since_ms = server->removed_ms;
-	evidence->reason = CM_C_STEER_GONE_REPLACED;
-	if (server->is_replaced)
-		return true;
 	if (has_answered_since(server, server->removed_ms))
 		return false;
+	evidence->reason = CM_C_STEER_GONE_REPLACED;
+	if (server->is_replaced)
+		return observation_confirms_removal(steer, now_ms, server);
 	evidence->reason = CM_C_STEER_GONE_DRAINED;
 	if (server->entry.is_draining)
 		return observation_confirms_removal(steer, now_ms, server);
--- a/src/core/steer_server.c
+++ b/src/core/steer_server.c
@@ -102,6 +102,21 @@
 	return NULL;
 }
 
+struct cm_steer_server *
+cm_steer_servers_find_successor(const struct cm_steer_servers *servers,
+				const struct cm_steer_server *server)
+{
+	struct cm_steer_server *current;
+
+	if (!server->is_replaced)
+		return NULL;
+	current = cm_steer_servers_find_by_id(servers, server->entry.id);
+	if (current == server ||
+	    !cm_endpoint_equal(&current->entry.address, &server->entry.address))
+		return NULL;
+	return current;
+}
+
 static bool started_before(const struct cm_steer_server *a,
 			   const struct cm_steer_server *b)
 {
@@ -132,7 +147,26 @@
 	LIST_INSERT_HEAD(bucket, server, by_token);
 }
 
-/* Puts the latest run of a server first in the bucket of its id. */
+static struct cm_steer_server *find_run(const struct cm_steer_servers *servers,
+					const struct cm_server_entry *entry)
+{
+	struct cm_steer_server *server;
+
+	LIST_FOREACH(server, id_bucket(servers, entry->id), by_id)
+	if (server->entry.id == entry->id &&
+	    server->entry.started_ms == entry->started_ms)
+		return server;
+	return NULL;
+}
+
+/* Puts the run that was registered last first in the bucket of its id. */
+static void move_to_front(struct cm_steer_servers *servers,
+			  struct cm_steer_server *server)
+{
+	LIST_REMOVE(server, by_id);
+	LIST_INSERT_HEAD(id_bucket(servers, server->entry.id), server, by_id);
+}
+
 static struct cm_steer_server *server_add(struct cm_steer_servers *servers,
 					  const struct cm_server_entry *entry)
 {
@@ -164,34 +198,44 @@
 	return cm_server_pools_add(&servers->pools, server);
 }
 
+/* The record is kept for the lifetime of a flow from the replacement on. */
+static void mark_replaced(struct cm_steer_servers *servers,
+			  struct cm_steer_server *server, uint64_t now_ms)
+{
+	server->is_replaced = true;
+	servers->listing_changes++;
+	cm_steer_servers_set_listing(servers, server, CM_LEFT, now_ms);
+	server->listing_changed_ms = now_ms;
+}
+
 int cm_steer_servers_put(struct cm_steer_servers *servers,
 			 const struct cm_server_entry *entry, uint64_t now_ms,
 			 struct cm_steer_server **server)
 {
-	struct cm_steer_server *known =
+	struct cm_steer_server *former =
 		cm_steer_servers_find_by_id(servers, entry->id);
-	struct cm_steer_server *latest = known;
+	struct cm_steer_server *current = find_run(servers, entry);
 	int error;
 
-	if (known && entry->started_ms < known->entry.started_ms)
+	if (former && entry->started_ms < former->entry.started_ms)
 		return CM_E_STALE;
-	if (!known || entry->started_ms > known->entry.started_ms)
-		latest = server_add(servers, entry);
-	if (!latest)
+	if (current)
+		move_to_front(servers, current);
+	else
+		current = server_add(servers, entry);
+	if (!current)
 		return CM_E_MEMORY;
-	if (known && known != latest) {
-		known->is_replaced = true;
-		servers->listing_changes++;
-		cm_steer_servers_set_listing(servers, known, CM_LEFT, now_ms);
-	}
-	latest->entry = *entry;
-	latest->cold_until_ms = now_ms + entry->cold_left_ms;
-	error = assign_pool(servers, latest);
+	if (former && former != current)
+		mark_replaced(servers, former, now_ms);
+	current->is_replaced = false;
+	current->entry = *entry;
+	current->cold_until_ms = now_ms + entry->cold_left_ms;
+	error = assign_pool(servers, current);
 	if (error)
 		return error;
-	cm_steer_servers_set_listing(servers, latest, CM_LISTED, now_ms);
+	cm_steer_servers_set_listing(servers, current, CM_LISTED, now_ms);
 	if (server)
-		*server = latest;
+		*server = current;
 	return CM_OK;
 }
 
