Use the entry of a server that was written last

A server whose entry states an earlier start than the entry before it was ignored from then on, its draining too (CM_E_STALE): after a step of its clock, or when another writer left an entry with a later start under its id.

Cause: cm_steer_servers_put() took the run with the latest start for the present one. The registry's order of writes decides which entry is the last, and the copy of the registry applies entries in that order.

--- a/include/chervilmast/steer_server.h
+++ b/include/chervilmast/steer_server.h
@@ -188,11 +188,12 @@
  * @server: set to the server; may be NULL
  *
  * A restart under a known id adds a separate server, and the run that was
- * registered before is marked as left.
+ * registered before is marked as left. The entry written last counts whatever
+ * its start is: the clock of the server may have been set back, and an entry
+ * that another writer left under the id may have stated a later start.
  *
- * Return: 0, CM_E_STALE when a later run of the server is known, or
- * CM_E_MEMORY; the server may then be in the table without a pool, so that it
- * gets no flows.
+ * Return: 0 or CM_E_MEMORY; the server may then be in the table without a pool,
+ * so that it gets no flows.
  */
 int cm_steer_servers_put(struct cm_steer_servers *servers,
 			 const struct cm_server_entry *entry, uint64_t now_ms,
--- a/src/core/steer_server.c
+++ b/src/core/steer_server.c
@@ -217,8 +217,6 @@
 	struct cm_steer_server *current = find_run(servers, entry);
 	int error;
 
-	if (former && entry->started_ms < former->entry.started_ms)
-		return CM_E_STALE;
 	if (current)
 		move_to_front(servers, current);
 	else
--- a/tests/unit/test_steer_gone.c
+++ b/tests/unit/test_steer_gone.c
@@ -159,6 +159,9 @@
 	restart_server(1500);
 	assert_forwarded_to_run(token_of(1), 1500);
 	assert_forwarded_to_run(cm_steer_token(1, 1000), 1500);
+	restart_server(1000);
+	assert_forwarded_to_run(token_of(1), 1000);
+	assert_forwarded_to_run(cm_steer_token(1, 1500), 1000);
 }
 
 /* Guards against evidence of the time before the restart: the server was silent
@@ -212,6 +215,8 @@
 	ck_assert(cm_endpoint_equal(&verdict.server, &address));
 	report(1);
 	assert_reset(1, CM_C_STEER_GONE_REPLACED);
+	restart_server(0);
+	assert_forwarded(1);
 }
 
 /* A flow of the earlier run does not count in the load, and one of the present
