Let no limit on a length or number refuse a whole desired state

Cause: names were read into 32 bytes; cm_map_text() refused a longer one, and platform_desired_state_read() with it the whole desired state. Other limits had the same effect: 8 backends of a route, weights that are no integers of 32 bits, a high cold-per-s; in lists, peers' messages and settings names, one unreadable member, 16 seeds, 64 peers, fractions and narrow ranges; in publish names. Two did harm without a refusal: a cold-per-s below 1 became no limit, and of more than 64 different traits of routes the further ones got the kind of the first.

Ruled out: a larger CM_NAME_SIZE, as the previous landing refuses messages with longer names; cutting names, as two that begin alike would become one.

Change: cm_name_set() stores a long name as its first bytes, a dot and a digest; the previous landing reads that form. Routes have any number of targets, weights are scaled, and lists keep what can be read.

Checks that asked for a refusal (a name of 32 bytes in a message and in the settings, 65 peers, the range of plan_ms) now ask that it is read, and that a bad value in the same place is still refused.

--- a/include/chervilmast/note.h
+++ b/include/chervilmast/note.h
@@ -12,9 +12,8 @@
 #include <stdint.h>
 
 #include "chervilmast/flow_key.h"
+#include "chervilmast/name.h"
 
-/** Maximum size of any name including its NUL, bytes. */
-#define CM_NAME_SIZE 32
 /** Size of a publication id, bytes. */
 #define CM_PUBLICATION_ID_SIZE 16
 
@@ -191,15 +190,6 @@
 	size_t server_count;
 };
 
-/**
- * cm_name_equal() - compare two names
- * @a: first name
- * @b: second name
- *
- * Return: true when they are equal.
- */
-bool cm_name_equal(const char *a, const char *b);
-
 /**
  * struct cm_note_rejected_entry - the entry that caused the rejection of a
  * release note
--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -31,7 +31,7 @@
 #include "chervilmast/steer_server.h"
 
 /** Maximum number of failure domains that may be out of service at a time. */
-#define CM_STEER_DOMAINS_OUT_MAX 16
+#define CM_STEER_DOMAINS_OUT_MAX 512
 
 /**
  * Maximum number of successful flows, and of failed flows, that an instance
--- a/include/chervilmast/steer_plan.h
+++ b/include/chervilmast/steer_plan.h
@@ -16,7 +16,7 @@
 #include "chervilmast/flow_key.h"
 #include "chervilmast/note.h"
 
-/** Maximum number of targets of a route. */
+/** Number of targets that struct cm_steer_route has room for. */
 #define CM_ROUTE_TARGETS_MAX 8
 
 /**
@@ -65,7 +65,8 @@
  * @objective_ms: latency objective of requests, ms; 0 when none is set
  * @traits: properties of its requests
  * @target_count: number of @targets
- * @targets: the services to which the route sends flows
+ * @targets: the services to which the route sends flows; further ones are added
+ *           by cm_steer_plan_add_target()
  */
 struct cm_steer_route {
 	struct cm_endpoint address;
@@ -176,6 +177,16 @@
 int cm_steer_plan_add_route(struct cm_steer_plan *plan,
 			    const struct cm_steer_route *route);
 
+/**
+ * cm_steer_plan_add_target() - add a target to the route that was added last
+ * @plan: the plan, which is not sealed and has a route
+ * @target: the target; copied
+ *
+ * Return: 0 or CM_E_MEMORY.
+ */
+int cm_steer_plan_add_target(struct cm_steer_plan *plan,
+			     const struct cm_route_target *target);
+
 /**
  * cm_steer_plan_add_service() - add a service to a plan that is not sealed
  * @plan: the plan, with room left
--- a/src/adapters/message_items.c
+++ b/src/adapters/message_items.c
@@ -122,7 +122,7 @@
 	const msgpack_object_map *optional;
 	struct cm_reader field;
 
-	cm_reader_text(&reader, message->items_request.name);
+	cm_reader_name(&reader, message->items_request.name);
 	message->items_request.after_revision =
 		cm_reader_number(&reader, UINT64_MAX);
 	message->items_request.snapshot_incarnation =
--- a/src/adapters/message_read.c
+++ b/src/adapters/message_read.c
@@ -53,8 +53,8 @@
 {
 	struct cm_reader reader = cm_reader_struct(list, CM_MEMBER_FIELDS);
 
-	cm_reader_text(&reader, member->name);
-	cm_reader_text(&reader, member->domain);
+	cm_reader_name(&reader, member->name);
+	cm_reader_name(&reader, member->domain);
 	member->data_address = get_endpoint(&reader);
 	member->control_address = get_control(&reader, &member->data_address);
 	member->incarnation = cm_reader_number(&reader, UINT64_MAX);
@@ -204,7 +204,7 @@
 {
 	struct cm_reader reader = cm_reader_struct(list, CM_SERVER_FIELDS);
 
-	cm_reader_text(&reader, server->name);
+	cm_reader_name(&reader, server->name);
 	server->address = get_endpoint(&reader);
 	server->state = cm_reader_number(&reader, CM_SERVER_WITHDRAWN);
 	server->is_home = cm_reader_number(&reader, true);
@@ -218,7 +218,7 @@
 	struct cm_reader list;
 	int error;
 
-	cm_reader_text(&reader, body->name);
+	cm_reader_name(&reader, body->name);
 	body->version = cm_reader_number(&reader, UINT64_MAX);
 	body->uptime_s = cm_reader_number(&reader, UINT64_MAX);
 	get_members(&reader, &body->members);
@@ -265,7 +265,7 @@
 	message->sender_data_address = get_endpoint(&reader);
 	message->sender_control_address =
 		get_control(&reader, &message->sender_data_address);
-	cm_reader_text(&reader, message->sender_domain);
+	cm_reader_name(&reader, message->sender_domain);
 	message->sender_incarnation = cm_reader_number(&reader, UINT64_MAX);
 	if (!error)
 		get_body[kind](&reader, message);
--- a/src/adapters/message_reader.h
+++ b/src/adapters/message_reader.h
@@ -34,8 +34,9 @@
 /** cm_reader_number() - read a number up to @maximum; 0 after any error */
 uint64_t cm_reader_number(struct cm_reader *reader, uint64_t maximum);
 
-/** cm_reader_text() - read a string of less than CM_NAME_SIZE bytes */
-void cm_reader_text(struct cm_reader *reader, char *text);
+/** cm_reader_name() - read a name of any length into CM_NAME_SIZE bytes
+ * (cm_name_set()) */
+void cm_reader_name(struct cm_reader *reader, char *name);
 
 /**
  * cm_reader_array() - return a reader of an array of up to @maximum elements
--- a/src/adapters/msgpack_map.c
+++ b/src/adapters/msgpack_map.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "chervilmast/error.h"
-#include "chervilmast/note.h"
+#include "chervilmast/name.h"
 
 int cm_map_decode(msgpack_unpacked *unpacked, const char *bytes, size_t size)
 {
@@ -45,25 +45,46 @@
 	return &value->via.array;
 }
 
-int cm_map_text(char *text, const msgpack_object *object, const char *key)
+static int find_text(const msgpack_object *object, const char *key,
+		     const msgpack_object_str **text)
 {
 	const msgpack_object *value = cm_map_field(object, key);
-	size_t size;
 
 	if (!value)
 		return CM_E_MISSING_KEY;
 	if (value->type != MSGPACK_OBJECT_STR)
 		return CM_E_WRONG_TYPE;
-	size = value->via.str.size;
-	if (!size || size >= CM_NAME_SIZE)
+	*text = &value->via.str;
+	if (!(*text)->size)
+		return CM_E_OUT_OF_RANGE;
+	return memchr((*text)->ptr, '\0', (*text)->size) ? CM_E_BAD_NAME :
+							   CM_OK;
+}
+
+int cm_map_text(char *text, const msgpack_object *object, const char *key)
+{
+	const msgpack_object_str *found;
+	int error = find_text(object, key, &found);
+
+	if (error)
+		return error;
+	if (found->size >= CM_NAME_SIZE)
 		return CM_E_OUT_OF_RANGE;
-	if (memchr(value->via.str.ptr, '\0', size))
-		return CM_E_BAD_NAME;
 	memset(text, 0, CM_NAME_SIZE);
-	memcpy(text, value->via.str.ptr, size);
+	memcpy(text, found->ptr, found->size);
 	return CM_OK;
 }
 
+int cm_map_name(char *name, const msgpack_object *object, const char *key)
+{
+	const msgpack_object_str *found;
+	int error = find_text(object, key, &found);
+
+	if (!error)
+		cm_name_set(name, found->ptr, found->size);
+	return error;
+}
+
 int cm_map_number(uint64_t *number, const msgpack_object *object,
 		  const char *key)
 {
@@ -79,6 +100,14 @@
 	return CM_OK;
 }
 
+bool cm_map_is_number(const msgpack_object *value)
+{
+	return value->type == MSGPACK_OBJECT_FLOAT32 ||
+	       value->type == MSGPACK_OBJECT_FLOAT64 ||
+	       value->type == MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	       value->type == MSGPACK_OBJECT_NEGATIVE_INTEGER;
+}
+
 double cm_map_real(const msgpack_object *object, const char *key)
 {
 	const msgpack_object *value = cm_map_field(object, key);
--- a/src/adapters/msgpack_map.h
+++ b/src/adapters/msgpack_map.h
@@ -55,6 +55,17 @@
  */
 int cm_map_text(char *text, const msgpack_object *object, const char *key);
 
+/**
+ * cm_map_name() - read a name of any length (cm_name_set())
+ * @name: set on success; CM_NAME_SIZE bytes
+ * @object: the map
+ * @key: name of the field
+ *
+ * Return: 0, CM_E_MISSING_KEY, CM_E_WRONG_TYPE, CM_E_OUT_OF_RANGE for an empty
+ * string, or CM_E_BAD_NAME for a string that contains a NUL.
+ */
+int cm_map_name(char *name, const msgpack_object *object, const char *key);
+
 /**
  * cm_map_number() - read a non-negative integer
  * @number: set on success
@@ -66,6 +77,12 @@
 int cm_map_number(uint64_t *number, const msgpack_object *object,
 		  const char *key);
 
+/**
+ * cm_map_is_number() - whether a value is an integer or a floating-point number
+ * @value: the value
+ */
+bool cm_map_is_number(const msgpack_object *value);
+
 /**
  * cm_map_real() - read an integer or a floating-point number
  * @object: the map
--- a/src/adapters/registry_item.c
+++ b/src/adapters/registry_item.c
@@ -118,8 +118,8 @@
 	value_reader = cm_item_value_open(&value, item);
 	field_reader = cm_reader_struct(&value_reader, SERVER_FIELDS);
 	entry.started_ms = cm_reader_number(&field_reader, UINT64_MAX);
-	cm_reader_text(&field_reader, entry.service);
-	cm_reader_text(&field_reader, entry.domain);
+	cm_reader_name(&field_reader, entry.service);
+	cm_reader_name(&field_reader, entry.domain);
 	read_endpoint(&field_reader, &entry.address, IPPROTO_UDP);
 	entry.slots = (uint32_t)cm_reader_number(&field_reader, UINT32_MAX);
 	entry.cold_left_ms =
@@ -132,16 +132,6 @@
 	return cm_item_value_close(&value);
 }
 
-static int read_name(char *name, const char *text)
-{
-	size_t length = strlen(text);
-
-	if (!length || length >= CM_NAME_SIZE)
-		return CM_E_BAD_NAME;
-	memcpy(name, text, length + 1);
-	return CM_OK;
-}
-
 /*
  * Only the item with the version is decoded here; the receiver of the event
  * decodes the plan's other items with cm_plan_items_read().
@@ -162,7 +152,10 @@
 static int decode_domain_out(const struct cm_item *item, const char *name,
 			     const struct cm_registry_events *events)
 {
-	events->domain_out(events->user, name, !item->is_deleted);
+	char domain[CM_NAME_SIZE];
+
+	cm_name_set(domain, name, strlen(name));
+	events->domain_out(events->user, domain, !item->is_deleted);
 	return CM_OK;
 }
 
@@ -172,17 +165,17 @@
 	struct cm_peer_entry entry = { .rank = 0 };
 	struct cm_reader value_reader, field_reader;
 	struct cm_item_value value;
-	int error = read_name(entry.name, name);
 
-	if (error)
-		return error;
+	if (!*name)
+		return CM_E_BAD_NAME;
+	cm_name_set(entry.name, name, strlen(name));
 	if (item->is_deleted) {
-		events->peer_removed(events->user, name);
+		events->peer_removed(events->user, entry.name);
 		return CM_OK;
 	}
 	value_reader = cm_item_value_open(&value, item);
 	field_reader = cm_reader_struct(&value_reader, PEER_FIELDS);
-	cm_reader_text(&field_reader, entry.domain);
+	cm_reader_name(&field_reader, entry.domain);
 	read_endpoint(&field_reader, &entry.control, IPPROTO_TCP);
 	entry.rank = cm_reader_number(&field_reader, UINT64_MAX);
 	if (!value.error)
--- a/src/adapters/route_traits.c
+++ b/src/adapters/route_traits.c
@@ -6,11 +6,10 @@
 #include "item_value.h"
 #include "msgpack_map.h"
 
-/**
- * Maximum number of groups; routes with further traits get those of the first
- * group. Operators use a few kinds of requests, not one for each route.
- */
+/** Maximum number of groups. */
 #define GROUPS_MAX 64
+/** Number of kinds of requests. */
+#define KINDS (CM_ROUTE_UPLOAD + 1)
 /** Number of elements of a group's array that precede its routes. */
 #define GROUP_FIELDS 3
 /** Number of elements of a group's array for each of its routes. */
@@ -44,7 +43,21 @@
 	       a->timeout_ms == b->timeout_ms;
 }
 
-/* Return: index of the group with the traits; the number of groups for none. */
+static uint32_t find_kind(const struct groups *groups, enum cm_route_kind kind)
+{
+	uint32_t i = 0;
+
+	while (i < groups->count && groups->items[i].traits.kind != kind)
+		i++;
+	return i;
+}
+
+/*
+ * Finds the group of routes with the traits. When groups are left only for
+ * kinds of requests that have none, this is the first one of the same kind: the
+ * kind decides whether a request may run twice.
+ * Return: its index; the number of groups for none.
+ */
 static uint32_t find_group(const struct groups *groups,
 			   const struct cm_route_traits *traits)
 {
@@ -53,7 +66,9 @@
 	while (i < groups->count &&
 	       !traits_equal(&groups->items[i].traits, traits))
 		i++;
-	return i;
+	if (i < groups->count || groups->count < GROUPS_MAX - KINDS)
+		return i;
+	return find_kind(groups, traits->kind);
 }
 
 /* The first group lists no routes, so the item is shortest if that is the group
@@ -73,24 +88,30 @@
 	}
 }
 
+static void count_routes(struct groups *groups,
+			 const struct cm_steer_plan *plan)
+{
+	for (uint32_t i = 0; i < groups->count; i++)
+		groups->items[i].count = 0;
+	for (size_t i = 0; i < plan->route_count; i++)
+		groups->items[find_group(groups, &plan->routes[i].traits)]
+			.count++;
+}
+
 static void collect_groups(struct groups *groups,
 			   const struct cm_steer_plan *plan)
 {
 	groups->count = 0;
 	for (size_t i = 0; i < plan->route_count; i++) {
 		const struct cm_route_traits *traits = &plan->routes[i].traits;
-		uint32_t index = find_group(groups, traits);
 
-		if (index == GROUPS_MAX)
-			continue;
-		if (index == groups->count) {
-			groups->items[index].traits = *traits;
-			groups->items[index].count = 0;
-			groups->count++;
-		}
-		groups->items[index].count++;
+		if (find_group(groups, traits) == groups->count)
+			groups->items[groups->count++].traits = *traits;
 	}
+	count_routes(groups, plan);
 	move_largest_to_front(groups);
+	/* The first group of a kind may have become another one. */
+	count_routes(groups, plan);
 }
 
 static void put_group(msgpack_packer *packer, const struct group *group,
@@ -103,13 +124,15 @@
 }
 
 static void put_routes(msgpack_packer *packer, const struct cm_steer_plan *plan,
-		       const struct group *group)
+		       const struct groups *groups, uint32_t index)
 {
+	const struct group *group = &groups->items[index];
+
 	put_group(packer, group, group->count);
 	for (size_t i = 0; i < plan->route_count; i++) {
 		const struct cm_plan_route *route = &plan->routes[i];
 
-		if (!traits_equal(&route->traits, &group->traits))
+		if (find_group(groups, &route->traits) != index)
 			continue;
 		msgpack_pack_uint32(packer, route->address.address);
 		msgpack_pack_uint16(packer, route->address.port);
@@ -129,7 +152,7 @@
 	msgpack_pack_array(&packer, groups.count);
 	for (uint32_t i = 0; i < groups.count; i++)
 		if (i)
-			put_routes(&packer, plan, &groups.items[i]);
+			put_routes(&packer, plan, &groups, i);
 		else
 			put_group(&packer, &groups.items[i], 0);
 	handler(user, CM_ROUTE_TRAITS_KEY, buffer.data, buffer.size);
--- a/src/config/json_reader.c
+++ b/src/config/json_reader.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <ctype.h>
+#include <math.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
@@ -76,7 +77,7 @@
 {
 	size_t length = strlen(name);
 
-	if (!length || length >= CM_NAME_SIZE)
+	if (!length)
 		return false;
 	for (size_t i = 0; i < length; i++)
 		if (!isalnum((unsigned char)name[i]) && !strchr("-_.", name[i]))
@@ -98,12 +99,13 @@
 		if (!name_is_valid(text))
 			return cm_json_fail(error, node, field->key,
 					    CM_E_BAD_NAME);
-		memset(target, 0, CM_NAME_SIZE);
-	} else if (length >= field->size) {
+		cm_name_set(target, text, length);
+		return CM_OK;
+	}
+	if (length >= field->size)
 		return cm_json_fail_range(error, node, field->key,
 					  CM_E_TOO_LARGE, 0,
 					  (int64_t)field->size - 1);
-	}
 	memcpy(target, text, length + 1);
 	return CM_OK;
 }
@@ -141,11 +143,12 @@
 			const struct cm_json_field *field, const json_t *value,
 			void *target, struct cm_json_error *error)
 {
-	json_int_t number = json_integer_value(value);
+	double number = floor(json_number_value(value));
 
-	if (!json_is_integer(value))
+	if (!json_is_integer(value) &&
+	    !(field->allows_fraction && json_is_real(value)))
 		return cm_json_fail(error, node, field->key, CM_E_WRONG_TYPE);
-	if (number < field->minimum || number > field->maximum)
+	if (number < (double)field->minimum || number > (double)field->maximum)
 		return cm_json_fail_range(error, node, field->key,
 					  CM_E_OUT_OF_RANGE, field->minimum,
 					  field->maximum);
--- a/src/config/json_reader.h
+++ b/src/config/json_reader.h
@@ -55,8 +55,8 @@
 
 /**
  * enum cm_json_type - type of a field in JSON and in the struct
- * @CM_JSON_NAME: string of 1 to 31 letters, digits, '-', '_' and '.'; a char
- *                array of CM_NAME_SIZE bytes
+ * @CM_JSON_NAME: string of at least one letter, digit, '-', '_' or '.'; a char
+ *                array of CM_NAME_SIZE bytes, set by cm_name_set()
  * @CM_JSON_TEXT: string that fits with its NUL into the field's size; a char
  *                array
  * @CM_JSON_ADDRESS: IPv4 address in dotted-decimal notation; a uint32_t in host
@@ -88,6 +88,7 @@
  * @size: size of the member for CM_JSON_TEXT, bytes
  * @bit: bit of the field in a set of present fields; 0 if it has none
  * @is_optional: the key may be missing; the member is then left unchanged
+ * @allows_fraction: a number with a fraction is rounded down to an integer
  * @minimum: minimum allowed value of an integer
  * @maximum: maximum allowed value of an integer
  * @choices: allowed strings for CM_JSON_CHOICE, terminated by NULL
@@ -99,6 +100,7 @@
 	size_t size;
 	uint32_t bit;
 	bool is_optional;
+	bool allows_fraction;
 	int64_t minimum;
 	int64_t maximum;
 	const char *const *choices;
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -152,6 +152,8 @@
 	return CM_OK;
 }
 
+/* Any peer makes the others known, so those beyond CM_PEERS_MAX are left out.
+ */
 static int read_peers(struct cm_settings *settings,
 		      const struct cm_json_node *root,
 		      struct cm_json_error *error)
@@ -167,18 +169,15 @@
 		return CM_OK;
 	if (!json_is_array(list.value))
 		return cm_json_fail(error, root, "peers", CM_E_WRONG_TYPE);
-	if (json_array_size(list.value) > CM_PEERS_MAX)
-		return cm_json_fail_range(error, root, "peers", CM_E_TOO_LARGE,
-					  0, CM_PEERS_MAX);
 	json_array_foreach (list.value, item.index, item.value) {
-		struct cm_endpoint *peer = &settings->peers[item.index];
-		int result = cm_json_read_fields(&item, endpoint_fields, peer,
+		struct cm_endpoint peer = { .protocol = IPPROTO_TCP };
+		int result = cm_json_read_fields(&item, endpoint_fields, &peer,
 						 false, NULL, error);
 
 		if (result)
 			return result;
-		peer->protocol = IPPROTO_TCP;
-		settings->peer_count++;
+		if (settings->peer_count < CM_PEERS_MAX)
+			settings->peers[settings->peer_count++] = peer;
 	}
 	return CM_OK;
 }
--- a/src/config/steer_settings.c
+++ b/src/config/steer_settings.c
@@ -9,14 +9,13 @@
 #include "chervilmast/error.h"
 #include "log_levels.h"
 
+#define MS_PER_S 1000
 #define STORE_TIMEOUT_MS_MIN 10
 #define STORE_TIMEOUT_MS_MAX 60000
 #define STORE_TIMEOUT_MS_DEFAULT 500
-#define DEADLINE_MS_MIN 1000
-#define DEADLINE_MS_MAX 600000
+#define DEADLINE_MS_MIN 100
 #define LAPSE_MS_DEFAULT 2500
-#define FLOW_LIFE_S_MAX 86400
-#define STOP_TIMEOUT_S_MAX 3600
+#define FLOW_LIFE_S_MAX (UINT32_MAX / MS_PER_S)
 #define FLOWS_LIMIT_MIN 64
 #define FLOWS_LIMIT_MAX 10000000
 #define FLOWS_LIMIT_DEFAULT 65536
@@ -37,8 +36,8 @@
 	{                                                           \
 		.key = #name, .type = CM_JSON_U32,                  \
 		.offset = offsetof(struct cm_steer_settings, name), \
-		.is_optional = (can_omit), .minimum = (least),      \
-		.maximum = (most)                                   \
+		.is_optional = (can_omit), .allows_fraction = true, \
+		.minimum = (least), .maximum = (most)               \
 	}
 
 static const struct cm_json_field fields[] = {
@@ -54,12 +53,12 @@
 	  .size = CM_SETTINGS_TEXT_SIZE },
 	NUMBER_FIELD(store_timeout_ms, true, STORE_TIMEOUT_MS_MIN,
 		     STORE_TIMEOUT_MS_MAX),
-	NUMBER_FIELD(server_leave_ms, false, DEADLINE_MS_MIN, DEADLINE_MS_MAX),
-	NUMBER_FIELD(domain_out_ms, false, DEADLINE_MS_MIN, DEADLINE_MS_MAX),
-	NUMBER_FIELD(plan_ms, false, DEADLINE_MS_MIN, DEADLINE_MS_MAX),
-	NUMBER_FIELD(lapse_ms, true, 0, DEADLINE_MS_MAX),
+	NUMBER_FIELD(server_leave_ms, false, DEADLINE_MS_MIN, UINT32_MAX),
+	NUMBER_FIELD(domain_out_ms, false, DEADLINE_MS_MIN, UINT32_MAX),
+	NUMBER_FIELD(plan_ms, false, DEADLINE_MS_MIN, UINT32_MAX),
+	NUMBER_FIELD(lapse_ms, true, 0, UINT32_MAX),
 	NUMBER_FIELD(flow_life_s, false, 1, FLOW_LIFE_S_MAX),
-	NUMBER_FIELD(stop_timeout_s, false, 0, STOP_TIMEOUT_S_MAX),
+	NUMBER_FIELD(stop_timeout_s, false, 0, UINT32_MAX),
 	NUMBER_FIELD(flows_max, true, FLOWS_LIMIT_MIN, FLOWS_LIMIT_MAX),
 	{ .key = "log_level",
 	  .type = CM_JSON_CHOICE,
@@ -70,6 +69,7 @@
 	{ .key = NULL },
 };
 
+/* One seed suffices, so those beyond CM_STEER_SEEDS_MAX are left out. */
 static int read_seeds(struct cm_steer_settings *settings,
 		      const struct cm_json_node *root,
 		      struct cm_json_error *error)
@@ -86,23 +86,20 @@
 		return CM_OK;
 	if (!json_is_array(list.value))
 		return cm_json_fail(error, root, "seeds", CM_E_WRONG_TYPE);
-	if (json_array_size(list.value) > CM_STEER_SEEDS_MAX)
-		return cm_json_fail_range(error, root, "seeds", CM_E_TOO_LARGE,
-					  0, CM_STEER_SEEDS_MAX);
 	json_array_foreach (list.value, index, value) {
-		struct cm_endpoint *seed = &settings->seeds[index];
+		struct cm_endpoint seed = { .protocol = IPPROTO_TCP };
 		const struct cm_json_node item = { .parent = &list,
 						   .index = index,
 						   .value = value };
 
-		seed->protocol = IPPROTO_TCP;
 		if (!json_is_string(value))
 			return cm_json_fail(error, &item, NULL,
 					    CM_E_WRONG_TYPE);
-		if (cm_endpoint_parse(seed, json_string_value(value)))
+		if (cm_endpoint_parse(&seed, json_string_value(value)))
 			return cm_json_fail(error, &item, NULL,
 					    CM_E_BAD_ADDRESS);
-		settings->seed_count++;
+		if (settings->seed_count < CM_STEER_SEEDS_MAX)
+			settings->seeds[settings->seed_count++] = seed;
 	}
 	return CM_OK;
 }
--- a/src/config/steer_settings.h
+++ b/src/config/steer_settings.h
@@ -9,7 +9,7 @@
 
 #include "settings.h"
 
-/** Maximum number of seeds. */
+/** Maximum number of seeds that are used. */
 #define CM_STEER_SEEDS_MAX 16
 
 /**
--- a/src/core/note.c
+++ b/src/core/note.c
@@ -5,11 +5,6 @@
 
 #include "chervilmast/error.h"
 
-bool cm_name_equal(const char *a, const char *b)
-{
-	return strncmp(a, b, CM_NAME_SIZE) == 0;
-}
-
 void cm_note_init(struct cm_note *note)
 {
 	memset(note, 0, sizeof(*note));
--- a/src/core/steer_plan.c
+++ b/src/core/steer_plan.c
@@ -110,6 +110,16 @@
 	return error;
 }
 
+int cm_steer_plan_add_target(struct cm_steer_plan *plan,
+			     const struct cm_route_target *target)
+{
+	int error = add_target(plan, target);
+
+	if (!error)
+		plan->routes[plan->route_count - 1].target_count++;
+	return error;
+}
+
 void cm_steer_plan_add_service(struct cm_steer_plan *plan,
 			       const struct cm_steer_service *service)
 {
--- a/src/daemon/steer_entry.c
+++ b/src/daemon/steer_entry.c
@@ -135,10 +135,12 @@
 /* Return: maximum usable age of another instance's data, ms. */
 static uint32_t age_max_ms(const struct cm_steer_settings *settings)
 {
-	uint32_t deadline_ms =
-		shortest_deadline_ms(settings) - SOURCE_AGE_MARGIN_MS;
+	uint32_t deadline_ms = shortest_deadline_ms(settings);
 	uint32_t expected_ms = wait_ms(settings) + REGISTRY_AGE_EXTRA_MS;
 
+	deadline_ms = deadline_ms > SOURCE_AGE_MARGIN_MS ?
+			      deadline_ms - SOURCE_AGE_MARGIN_MS :
+			      1;
 	return expected_ms < deadline_ms ? expected_ms : deadline_ms;
 }
 
--- a/tests/scripts/cases/check_note.sh
+++ b/tests/scripts/cases/check_note.sh
@@ -51,6 +51,10 @@
 try 'a domain twice' 's/\({ "name": "a", "state": "in" }\)/\1, \1/'
 try 'a service twice' 's/"name": "t", "a/"name": "s", "a/'
 try 'a server twice' 's/"t1"/"s1"/'
+long=hokkaido-monthly-petty-cash-reimbursement
+try 'names of 41 characters that begin alike' "s/\"\([st]\)\"/\"$long\1\"/g; s/\"\([st]1\)\"/\"$long-\1\"/g"
+try 'unknown service of 41 characters' "s/\"name\": \"\([st]\)\"/\"name\": \"$long\1\"/; s/\"service\": \"\([st]\)\"/\"service\": \"$long-\1\"/"
+try 'a server of 42 characters twice' "s/\"[st]1\"/\"$long\"/"
 try 'not UTF-8' "s/t1/t$(printf '\377')/"
 text 'empty note' '{}'
 text 'empty lists' '{ "services": { "add": [] } }'
--- a/tests/scripts/cases/check_settings.sh
+++ b/tests/scripts/cases/check_settings.sh
@@ -55,6 +55,7 @@
 try 'name with a space' 's/"a-1"/"a 1"/'
 try 'empty name' 's/"a-1"/""/'
 try 'name of 32 bytes' 's/"a-1"/"abcdefghijklmnopqrstuvwxyz012345"/'
+try 'name of 32 bytes, one of them a space' 's/"a-1"/"abcdefghijklmnopqrstuvwxyz01234 "/'
 try 'control address differs from data address' '/"control"/s/127.0.0.2/127.0.0.4/'
 try 'fabric equal to data' '/"fabric"/s/127.0.0.1/127.0.0.2/'
 try 'admin equal to control' '/"admin"/s/9100/7081/'
@@ -78,6 +79,9 @@
 done)
 printf '%s\n' "$good" | sed -e "s/\"peers\": .*/\"peers\": [$peers],/" >settings.json
 check settings.json
+echo '# 65 peers, the last one without a port'
+sed -i 's/,"port":7081}\],/}],/' settings.json
+check settings.json
 echo '# prefix of 128 bytes'
 long=$(head -c 127 /dev/zero | tr '\0' x)
 printf '%s\n' "$good" | sed -e "s,\"c/\",\"$long/\"," >settings.json
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -1,12 +1,14 @@
 #include "unit/suites.h"
 
 #include <netinet/in.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "adapters/msgpack_map.h"
 #include "chervilmast/error.h"
 #include "fake/body.h"
 #include "platform/desired_state.h"
+#include "platform/members_entry.h"
 #include "platform/packet_header.h"
 #include "platform/server_entry.h"
 
@@ -305,6 +307,181 @@
 		cm_steer_plan_finish(&plan);
 }
 
+#define LONG "hokkaido-monthly-petty-cash-reimbursement"
+#define BACKEND(name, weight) "{\"service\":\"" name "\",\"weight\":" weight "}"
+
+/* Guards against a desired state that is refused as a whole, so that dropped
+ * routes stay and added ones are missing, because of a long name. */
+TEST(names_of_any_length_are_read)
+{
+	const struct cm_endpoint address = { 0xc6120001, 443, IPPROTO_TCP };
+	const char *selected[2];
+	const struct cm_plan_route *route;
+	struct cm_server_entry entry = { .id = 0 };
+	struct cm_steer_plan plan;
+	struct value value;
+
+	ASSERT_OK(platform_desired_state_read(
+		&plan,
+		value_init(&value,
+			   STATE(ROUTE(",\"backends\":[" BACKEND(
+					 LONG "1", "1") "," BACKEND(LONG "2",
+								    "1") "]"),
+				 "{\"name\":\"" LONG "1\",\"cold-per-s\":1},"
+				 "{\"name\":\"" LONG
+				 "2\",\"cold-per-s\":2}"))));
+	value_finish(&value);
+	route = cm_steer_plan_find_route(&plan, &address);
+	for (uint64_t i = 0; i < 2; i++) {
+		selected[i] = cm_steer_plan_select_service(&plan, route, i);
+		ck_assert_uint_eq(cm_steer_plan_find_service(&plan, selected[i])
+					  ->cold_per_s,
+				  i + 1);
+	}
+	ASSERT_OK(platform_server_entry_read(
+		&entry, "i-1",
+		value_init(&value, ENTRY(",\"service\":\"" LONG
+					 "2\",\"zone\":\"" LONG "\""))));
+	value_finish(&value);
+	ck_assert_str_eq(entry.service, selected[1]);
+	ck_assert_str_ne(entry.service, selected[0]);
+	ck_assert_str_ne(entry.service, entry.domain);
+	cm_steer_plan_finish(&plan);
+}
+
+/* Guards against a desired state that is refused as a whole because a route has
+ * more backends than struct cm_steer_route has room for. */
+TEST(route_with_many_backends_is_read)
+{
+	const struct cm_endpoint address = { 0xc6120001, 443, IPPROTO_TCP };
+	const struct cm_plan_route *route;
+	char text[4096] = "", name[16];
+	struct cm_steer_plan plan;
+	struct value value;
+	size_t length;
+
+	length = (size_t)sprintf(text,
+				 "{\"version\":7,\"services\":[],\"routes\":[{"
+				 "\"host\":\"198.18.0.1\",\"prefix\":"
+				 "\"/443/\",\"backends\":[");
+	for (int i = 0; i < 5 * CM_ROUTE_TARGETS_MAX; i++)
+		length +=
+			(size_t)sprintf(text + length, "%s" BACKEND("s%d", "1"),
+					i ? "," : "", i);
+	sprintf(text + length, "]}]}");
+	ASSERT_OK(platform_desired_state_read(&plan, value_init(&value, text)));
+	value_finish(&value);
+	route = cm_steer_plan_find_route(&plan, &address);
+	for (uint64_t i = 0; i < 5 * CM_ROUTE_TARGETS_MAX; i++) {
+		sprintf(name, "s%llu", (unsigned long long)i);
+		ck_assert_str_eq(cm_steer_plan_select_service(&plan, route, i),
+				 name);
+	}
+	cm_steer_plan_finish(&plan);
+}
+
+/* Weights of two backends, and the share of flows that the first one gets, in
+ * millionths. */
+static const struct {
+	const char *state;
+	uint32_t first;
+} splits[] = {
+	{ STATE(ROUTE(",\"backends\":[" BACKEND("s", "0.25") "," BACKEND(
+			"t", "0.75") "]"),
+		""),
+	  250000 },
+	{ STATE(ROUTE(",\"backends\":[" BACKEND("s", "5000000000") "," BACKEND(
+			"t", "15000000000") "]"),
+		""),
+	  250000 },
+	{ STATE(ROUTE(",\"backends\":[" BACKEND("s", "1e-9") "," BACKEND(
+			"t", "1") "]"),
+		""),
+	  1 },
+	{ STATE(ROUTE(",\"backends\":[" BACKEND("s", "0.0") "," BACKEND(
+			"t", "0.5") "]"),
+		""),
+	  0 },
+};
+
+/* Guards against a desired state that is refused as a whole because of a weight
+ * that is not an integer of 32 bits. */
+TEST_TABLE(any_weight_is_read, splits)
+{
+	const struct cm_endpoint address = { 0xc6120001, 443, IPPROTO_TCP };
+	const struct cm_plan_route *route;
+	struct cm_steer_plan plan;
+	struct value value;
+	const char *last;
+
+	ASSERT_OK(platform_desired_state_read(
+		&plan, value_init(&value, splits[_i].state)));
+	value_finish(&value);
+	route = cm_steer_plan_find_route(&plan, &address);
+	last = cm_steer_plan_select_service(&plan, route, splits[_i].first);
+	ck_assert_str_eq(last, "t");
+	if (splits[_i].first)
+		ck_assert_str_eq(cm_steer_plan_select_service(
+					 &plan, route, splits[_i].first - 1),
+				 "s");
+	cm_steer_plan_finish(&plan);
+}
+
+/* A "cold-per-s", and the rate used. A rate below 1 must not become 0, which
+ * stands for no limit. */
+static const struct {
+	const char *state;
+	uint32_t cold_per_s;
+} rates[] = {
+	{ STATE("", "{\"name\":\"s\",\"cold-per-s\":0}"), 0 },
+	{ STATE("", "{\"name\":\"s\",\"cold-per-s\":0.2}"), 1 },
+	{ STATE("", "{\"name\":\"s\",\"cold-per-s\":2.9}"), 2 },
+	{ STATE("", "{\"name\":\"s\",\"cold-per-s\":1e300}"), 1000000 },
+};
+
+TEST_TABLE(rate_of_a_cold_start_is_read, rates)
+{
+	struct cm_steer_plan plan;
+	struct value value;
+
+	ASSERT_OK(platform_desired_state_read(
+		&plan, value_init(&value, rates[_i].state)));
+	value_finish(&value);
+	ck_assert_uint_eq(cm_steer_plan_find_service(&plan, "s")->cold_per_s,
+			  rates[_i].cold_per_s);
+	cm_steer_plan_finish(&plan);
+}
+
+#define MEMBER(name, more) \
+	"{\"name\":\"" name "\",\"control\":\"10.0.0.1:1\"" more "}"
+
+/* Guards against a list of members that is refused as a whole because of one
+ * member. */
+TEST(other_members_are_read)
+{
+	static struct cm_peer_entry members[CM_ROSTER_MAX];
+	char domain[CM_NAME_SIZE] = "a";
+	struct value value;
+	uint32_t count;
+
+	ck_assert_int_eq(
+		platform_members_read(
+			members, &count, domain,
+			value_init(
+				&value,
+				"{\"members\":[" MEMBER(LONG "1", ",\"rank\":1") "," MEMBER(
+					"x",
+					",\"rank\":-1") ",7," MEMBER(LONG "2",
+								     ",\"rank\":2") "]}")),
+		CM_E_OUT_OF_RANGE);
+	value_finish(&value);
+	ck_assert_uint_eq(count, 2);
+	ck_assert_uint_eq(members[0].rank, 1);
+	ck_assert_uint_eq(members[1].rank, 2);
+	ck_assert_str_ne(members[0].name, members[1].name);
+	ck_assert_str_eq(members[1].domain, "a");
+}
+
 /* A desired state whose route has a latency objective, and the objective used,
  * ms. An invalid objective is ignored, so that the route remains in the plan.
  */
--- a/tests/unit/test_registry_item.c
+++ b/tests/unit/test_registry_item.c
@@ -134,6 +134,19 @@
 			 "peer gone a-1; domain b out=1; domain b out=0; ");
 }
 
+#define LONG "hokkaido-sapporo-edge-of-the-petty-cash-ledger"
+#define SHORTENED "hokkaido-sappo.ef7addbb275390e2"
+
+/* Keys with names that an instance does not store whole. */
+TEST(long_names_in_keys_are_read)
+{
+	ASSERT_OK(decode("o/" LONG, "", 0, false));
+	ASSERT_OK(decode("m/" LONG, "\x94\xa1z\x01\x02\x03", 6, false));
+	ASSERT_OK(decode("m/" LONG, "", 0, true));
+	ck_assert_str_eq(decoded, "domain " SHORTENED " out=1; peer " SHORTENED
+				  " z 1:2 rank=3; peer gone " SHORTENED "; ");
+}
+
 /* Values of a server's item, and the result of decoding them. */
 static const struct {
 	const char *bytes;
@@ -256,6 +269,65 @@
 	cm_steer_plan_finish(&plan);
 }
 
+/* Guards against a plan that other instances refuse as a whole because of a
+ * route with many targets. */
+TEST(route_with_many_targets_is_read_as_it_was_written)
+{
+	const struct cm_steer_route route = {
+		.address = { 0xc6120000, 443, IPPROTO_TCP },
+	};
+	const uint32_t count = 5 * CM_ROUTE_TARGETS_MAX;
+	const uint64_t revision = 1;
+	struct cm_route_target target = { .weight = 1 };
+	struct cm_steer_plan plan;
+
+	ASSERT_OK(cm_steer_plan_init(&plan, 7, 1, 0));
+	ASSERT_OK(cm_steer_plan_add_route(&plan, &route));
+	for (uint32_t i = 0; i < count; i++) {
+		snprintf(target.service, sizeof(target.service), "s%u", i);
+		ASSERT_OK(cm_steer_plan_add_target(&plan, &target));
+	}
+	ASSERT_OK(cm_steer_plan_seal(&plan));
+	cm_plan_items_write(&plan, put_item, (void *)&revision);
+	cm_steer_plan_finish(&plan);
+	ASSERT_OK(cm_plan_items_read(&plan, &item_log, 7));
+	ck_assert_uint_eq(plan.routes[0].target_count, count);
+	ck_assert_str_eq(
+		cm_steer_plan_select_service(&plan, plan.routes, count - 1),
+		target.service);
+	cm_steer_plan_finish(&plan);
+}
+
+/* Guards against a request that must not run twice and counts as repeatable, as
+ * there are more different traits than groups of them. */
+TEST(kind_of_every_route_is_kept)
+{
+	const uint32_t count = 500;
+	const uint64_t revision = 1;
+	struct cm_steer_plan plan;
+
+	ASSERT_OK(cm_steer_plan_init(&plan, 7, count, 0));
+	for (uint32_t i = 0; i < count; i++) {
+		const struct cm_steer_route route = {
+			.address = { 0xc6120000 + i, 443, IPPROTO_TCP },
+			.traits = { i < 400 ? i % 2 : i % 5, 0,
+				    i < 100 ? 9 : i + 1 },
+			.target_count = 1,
+			.targets = { { "s", 1 } },
+		};
+
+		ASSERT_OK(cm_steer_plan_add_route(&plan, &route));
+	}
+	ASSERT_OK(cm_steer_plan_seal(&plan));
+	cm_plan_items_write(&plan, put_item, (void *)&revision);
+	cm_steer_plan_finish(&plan);
+	ASSERT_OK(cm_plan_items_read(&plan, &item_log, 7));
+	for (uint32_t i = 0; i < count; i++)
+		ck_assert_int_eq(plan.routes[i].traits.kind,
+				 i < 400 ? i % 2 : i % 5);
+	cm_steer_plan_finish(&plan);
+}
+
 /* Nodes send each other the changed items of a plan. A change to one route, or
  * one more route, must not change the items of all 2,400 routes. */
 TEST(one_route_changes_one_item)
