--- a/tests/standin/platform_store.c
+++ b/tests/standin/platform_store.c
@@ -497,6 +497,15 @@
 	pthread_mutex_destroy(&standin->lock);
 }
 
+void platform_standin_put_bytes(struct platform_standin *standin,
+				const char *key, const char *bytes, size_t size)
+{
+	pthread_mutex_lock(&standin->lock);
+	standin->kv.revision++;
+	fake_kv_put(&standin->kv, key, bytes, size);
+	pthread_mutex_unlock(&standin->lock);
+}
+
 void platform_standin_put(struct platform_standin *standin, const char *key,
 			  const char *value)
 {
@@ -504,10 +513,7 @@
 
 	msgpack_sbuffer_init(&bytes);
 	fake_body_write_text(&bytes, value);
-	pthread_mutex_lock(&standin->lock);
-	standin->kv.revision++;
-	fake_kv_put(&standin->kv, key, bytes.data, bytes.size);
-	pthread_mutex_unlock(&standin->lock);
+	platform_standin_put_bytes(standin, key, bytes.data, bytes.size);
 	msgpack_sbuffer_destroy(&bytes);
 }
 
--- a/tests/standin/platform_store.h
+++ b/tests/standin/platform_store.h
@@ -59,6 +59,12 @@
 void platform_standin_put(struct platform_standin *standin, const char *key,
 			  const char *value);
 
+/** platform_standin_put_bytes() - write a key without a lease; @bytes need not
+ * be MessagePack */
+void platform_standin_put_bytes(struct platform_standin *standin,
+				const char *key, const char *bytes,
+				size_t size);
+
 /** platform_standin_remove() - remove a key */
 void platform_standin_remove(struct platform_standin *standin, const char *key);
 
