Read all items when the changes are too large for one answer

A writer that leaves many large values among the entries of the servers makes the answer with the changes exceed 16 MB. It is refused, and so is each later one, which begins at the same revision: the instance stopped following the registry until the store had dropped that history.

The test all_items_are_read_when_the_changes_are_too_large fails before.

--- a/src/daemon/registry_loop.c
+++ b/src/daemon/registry_loop.c
@@ -131,6 +131,10 @@
 	return error;
 }
 
+/*
+ * Changes that are too large for one answer, such as large values of another
+ * writer, are read in parts with all other items.
+ */
 static int call_registry(struct cm_registry_loop *loop)
 {
 	int error = CM_E_COMPACTED;
@@ -138,7 +142,7 @@
 	/* A stale copy may lack changes before its revision: read all items. */
 	if (!cm_feed_is_stale(loop->feed))
 		error = wait_for_changes(loop, cm_feed_revision(loop->feed));
-	if (error == CM_E_COMPACTED)
+	if (error == CM_E_COMPACTED || error == CM_E_TOO_LARGE)
 		error = read_all(loop, false);
 	return error;
 }
--- a/tests/unit/test_registry_loop.c
+++ b/tests/unit/test_registry_loop.c
@@ -40,6 +40,7 @@
  * @write_revision: expected revision of the last write
  * @write_era: era of the lease of the last write
  * @earlier_renewals: number of renewals of leases of an earlier era
+ * @large_answers: number of first calls for changes whose answer is too large
  * @stalled_since_ms: when the stalled call began
  */
 struct fake_registry {
@@ -55,6 +56,7 @@
 	uint64_t write_revision;
 	uint64_t write_era;
 	uint32_t earlier_renewals;
+	uint32_t large_answers;
 	uint64_t stalled_since_ms;
 };
 
@@ -111,6 +113,8 @@
 		return CM_E_COMPACTED;
 	if (fake.change_calls <= fake.earlier_answers)
 		return CM_E_ERA_DIFFERS;
+	if (fake.change_calls <= fake.large_answers)
+		return CM_E_TOO_LARGE;
 	if (fake.stalled_since_ms)
 		return CM_E_UNAVAILABLE;
 	if (fake.stalls)
@@ -290,6 +294,20 @@
 	ck_assert_uint_eq(fake.base.era, 2);
 }
 
+/* Guards against an instance that stops following the registry: another writer
+ * wrote so many large values that the answer with the changes is refused, and
+ * so is each later one. */
+TEST(all_items_are_read_when_the_changes_are_too_large)
+{
+	fake.large_answers = UINT32_MAX;
+	start();
+	wait_until_count(&fake.change_calls, 2);
+	ck_assert_uint_ge(ck_pr_load_32(&fake.current_reads), 2);
+	ck_assert_uint_ne(cm_steer_registry_confirmed_ms(&steer), 0);
+	ck_assert_uint_eq(cm_counters_get(&steer.counters, CM_C_STORE_RETRIES),
+			  0);
+}
+
 /* Refused answers of an earlier era are counted, as they point to a replica of
  * the store that was not restored. */
 TEST(answers_of_an_earlier_era_are_counted)
