Use no server whose item of another instance can't be read

An item of a server that can't be decoded was reported, but the server was used on with the entry that the item had overwritten. An unreadable entry in the registry removes the server; now one from another instance does.

--- a/src/adapters/registry_item.c
+++ b/src/adapters/registry_item.c
@@ -100,6 +100,10 @@
 	endpoint->protocol = protocol;
 }
 
+/*
+ * An entry that can't be decoded has overwritten the one before, so that the
+ * server has none.
+ */
 static int decode_server(const struct cm_item *item, const char *name,
 			 const struct cm_registry_events *events)
 {
@@ -127,7 +131,9 @@
 	entry.is_draining = cm_reader_number(&field_reader, 1);
 	if (!value.error && !entry.slots)
 		value.error = CM_E_OUT_OF_RANGE;
-	if (!value.error)
+	if (value.error)
+		events->server_removed(events->user, entry.id);
+	else
 		events->server(events->user, &entry);
 	return cm_item_value_close(&value);
 }
--- a/tests/unit/test_registry_item.c
+++ b/tests/unit/test_registry_item.c
@@ -173,7 +173,7 @@
 	ck_assert_int_eq(
 		decode("s/7f", values[_i].bytes, values[_i].size, false),
 		values[_i].error);
-	ck_assert_int_eq(decoded[0] == '\0', values[_i].error != 0);
+	ck_assert_int_eq(!strcmp(decoded, "gone 7f; "), values[_i].error != 0);
 }
 
 /* Keys, and the result of decoding an item with the key. */
