Replace control characters in log lines

Names in the registry may come from another writer. One with a line break began a line of its own, which a reader of the log took for an event.

Change: control characters are replaced by "?". The test value_with_a_line_break_stays_in_its_line fails before.

--- a/src/daemon/log.c
+++ b/src/daemon/log.c
@@ -70,6 +70,14 @@
 	timestamp_second = second;
 }
 
+/* Values may come from another writer; a line break would begin a line. */
+static void replace_control_characters(char *text, size_t length)
+{
+	for (size_t i = 0; i < length; i++)
+		if (g_ascii_iscntrl(text[i]))
+			text[i] = '?';
+}
+
 /* Truncates lines that are too long; a line always ends with a newline. */
 static size_t format_line(char *line, const struct timespec *now,
 			  enum cm_log_event event, const char *format,
@@ -93,6 +101,7 @@
 	}
 	if (length > LINE_SIZE - 2)
 		length = LINE_SIZE - 2;
+	replace_control_characters(line, length);
 	line[length++] = '\n';
 	return length;
 }
--- a/tests/unit/test_logs.c
+++ b/tests/unit/test_logs.c
@@ -111,6 +111,31 @@
 	ck_assert_uint_gt(dropped, 5000);
 }
 
+/* Guards against lines that a value from the registry begins. */
+TEST(value_with_a_line_break_stays_in_its_line)
+{
+	char line[512];
+	int pipe_fds[2];
+	int saved_stdout = dup(STDOUT_FILENO);
+	ssize_t length;
+
+	ASSERT_OK(pipe(pipe_fds));
+	fflush(stdout);
+	dup2(pipe_fds[1], STDOUT_FILENO);
+	cm_log_init(CM_LOG_INFO);
+	cm_log(CM_EVENT_PEER_ENTRY, "peer=%s", "a\n\x7f\tevent=plan");
+	cm_log_flush();
+	dup2(saved_stdout, STDOUT_FILENO);
+	close(saved_stdout);
+	close(pipe_fds[1]);
+	length = read(pipe_fds[0], line, sizeof(line) - 1);
+	close(pipe_fds[0]);
+	ck_assert_int_gt(length, 0);
+	line[length] = '\0';
+	ck_assert_ptr_nonnull(strstr(line, "peer=a???event=plan\n"));
+	ck_assert_ptr_eq(strchr(line, '\n'), line + length - 1);
+}
+
 /* Values, and the index of the bucket that has to count them. */
 static const struct {
 	uint64_t value_ms;
