Use no server of a service that no route names

A well-formed entry of another writer, whose service the desired state does not name, made an instance ready that had no other server, and its address was probed while the instance counted as cut off. New flows never went there.

Change: readiness and those probes look only at servers of services that are the target of a route. The test server_of_an_unknown_service_is_not_used fails before.

--- a/include/chervilmast/steer_plan.h
+++ b/include/chervilmast/steer_plan.h
@@ -233,6 +233,16 @@
 const struct cm_steer_service *
 cm_steer_plan_find_service(const struct cm_steer_plan *plan, const char *name);
 
+/**
+ * cm_steer_plan_has_target() - whether a route sends flows to a service
+ * @plan: a plan
+ * @service: name of the service; CM_NAME_SIZE bytes
+ *
+ * Return: true when the service is a target of a route.
+ */
+bool cm_steer_plan_has_target(const struct cm_steer_plan *plan,
+			      const char *service);
+
 /**
  * cm_steer_plan_select_service() - select the service of a flow by weight
  * @plan: a sealed plan
--- a/src/core/steer_plan.c
+++ b/src/core/steer_plan.c
@@ -198,6 +198,15 @@
 		       sizeof(wanted), compare_services);
 }
 
+bool cm_steer_plan_has_target(const struct cm_steer_plan *plan,
+			      const char *service)
+{
+	for (size_t i = 0; i < plan->name_count; i++)
+		if (cm_name_equal(plan->names[i].text, service))
+			return true;
+	return false;
+}
+
 const char *cm_steer_plan_select_service(const struct cm_steer_plan *plan,
 					 const struct cm_plan_route *route,
 					 uint64_t hash)
--- a/src/core/steer_watch.c
+++ b/src/core/steer_watch.c
@@ -148,13 +148,24 @@
 	       steer->unanswered_syns >= CUT_OFF_SYNS;
 }
 
+/*
+ * Whether a route may send flows to a server. Another writer may have left an
+ * entry of a service that the plan does not name.
+ */
+static bool may_be_chosen(const struct cm_steer *steer,
+			  const struct cm_steer_server *server, uint64_t now_ms)
+{
+	return cm_steer_server_is_usable(steer, server, now_ms) &&
+	       cm_steer_plan_has_target(&steer->plan, server->entry.service);
+}
+
 static struct cm_steer_server *least_recently_chosen(struct cm_steer *steer,
 						     uint64_t now_ms)
 {
 	struct cm_steer_server *server, *next = NULL;
 
 	TAILQ_FOREACH (server, &steer->servers.all, link)
-		if (cm_steer_server_is_usable(steer, server, now_ms) &&
+		if (may_be_chosen(steer, server, now_ms) &&
 		    (!next || server->choice_seq < next->choice_seq))
 			next = server;
 	return next;
@@ -181,7 +192,7 @@
 
 	TAILQ_FOREACH (server, &steer->servers.all, link) {
 		steer->servers_examined++;
-		if (cm_steer_server_is_usable(steer, server, now_ms))
+		if (may_be_chosen(steer, server, now_ms))
 			return true;
 	}
 	return false;
--- a/tests/unit/test_steer.c
+++ b/tests/unit/test_steer.c
@@ -1,5 +1,7 @@
 #include "unit/suites.h"
 
+#include <string.h>
+
 #include "chervilmast/error.h"
 #include "unit/steering.h"
 
@@ -277,6 +279,27 @@
 	ck_assert_int_eq(server->listing, CM_LEFT);
 }
 
+/* Guards against an instance that is ready, or probes an address, because of an
+ * entry of another writer whose service the plan does not name. */
+TEST(server_of_an_unknown_service_is_not_used)
+{
+	struct cm_server_entry entry = steering_make_entry(1, "a");
+	struct cm_endpoint address;
+
+	steering_set_plan(1, 0);
+	memcpy(entry.service, "none", sizeof("none"));
+	ASSERT_OK(cm_steer_put_server(&steering, steering_ms, &entry));
+	cm_steer_registry_answered(&steering, steering_ms);
+	steering_advance(1000);
+	ck_assert_uint_eq(cm_steer_next_probe(&steering, steering_ms, &address),
+			  0);
+	cm_steer_probe_succeeded(&steering, steering_ms, 0);
+	ck_assert(!cm_steer_is_ready(&steering, steering_ms));
+	ck_assert_int_ne(steering_send_syn(1, 0).action, CM_STEER_FORWARD);
+	steering_add_server(2, "a");
+	ck_assert(cm_steer_is_ready(&steering, steering_ms));
+}
+
 /* Guards against a server that is ignored, its draining too, because an entry
  * under its id stated a later start: its clock was set back, or another writer
  * left that entry. */
