Take the report of one source for no outage of the registry

Cause: the source's report that it can't reach the registry counted as an outage at its followers. The next answer, of another source, began the grace period, and the removal in it counted as a lapse.

Ruled out: ignoring reports, as followers of a source that meets an outage would drop all servers whose entries lapse in it.

--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -119,7 +119,12 @@
  * @probed_ms: when the last probe began, ms
  * @servers_examined: total number of servers examined by choices, probes and
  *                    readiness checks
- * @is_registry_unreachable: the registry can't be reached
+ * @is_registry_unreachable: the registry can't be reached, or another instance
+ *                           reports so
+ * @is_outage_confirmed: this instance can't reach the registry, or two others
+ *                       report so; else only one of them may be cut off from it
+ * @outage_reporter: hash of the control address of the instance that reported
+ *                   first; 0 for none
  * @is_leaving: the instance is in graceful shutdown
  * @has_reached_server: a server has answered a SYN or a probe since the start
  * @was_ready: whether the instance was ready at the last tick
@@ -157,6 +162,8 @@
 	uint64_t probed_ms;
 	uint64_t servers_examined;
 	bool is_registry_unreachable;
+	bool is_outage_confirmed;
+	uint64_t outage_reporter;
 	bool is_leaving;
 	bool has_reached_server;
 	bool was_ready;
@@ -342,6 +349,18 @@
  */
 void cm_steer_registry_unreachable(struct cm_steer *steer);
 
+/**
+ * cm_steer_registry_reported() - record that the registry does not answer
+ * another instance
+ * @steer: the instance
+ * @reporter: control address of that instance
+ *
+ * When no other instance reports so, and the registry or the next source
+ * answers, there was no outage: entries that were removed have not lapsed.
+ */
+void cm_steer_registry_reported(struct cm_steer *steer,
+				const struct cm_endpoint *reporter);
+
 /**
  * cm_steer_select_source() - select the instance from which this one requests
  * registry data
--- a/src/core/steer_registry.c
+++ b/src/core/steer_registry.c
@@ -251,10 +251,12 @@
 void cm_steer_registry_answered(struct cm_steer *steer, uint64_t current_at_ms)
 {
 	pthread_mutex_lock(&steer->lock);
-	if (steer->is_registry_unreachable &&
+	if (steer->is_outage_confirmed &&
 	    current_at_ms > steer->registry_restored_ms)
 		steer->registry_restored_ms = current_at_ms;
 	steer->is_registry_unreachable = false;
+	steer->is_outage_confirmed = false;
+	steer->outage_reporter = 0;
 	steer->gone.must_renew = false;
 	if (current_at_ms > steer->registry_confirmed_ms)
 		steer->registry_confirmed_ms = current_at_ms;
@@ -275,6 +277,21 @@
 {
 	pthread_mutex_lock(&steer->lock);
 	steer->is_registry_unreachable = true;
+	steer->is_outage_confirmed = true;
+	pthread_mutex_unlock(&steer->lock);
+}
+
+void cm_steer_registry_reported(struct cm_steer *steer,
+				const struct cm_endpoint *reporter)
+{
+	uint64_t hash = cm_endpoint_hash(reporter);
+
+	pthread_mutex_lock(&steer->lock);
+	steer->is_registry_unreachable = true;
+	if (steer->outage_reporter && steer->outage_reporter != hash)
+		steer->is_outage_confirmed = true;
+	else
+		steer->outage_reporter = hash;
 	pthread_mutex_unlock(&steer->lock);
 }
 
--- a/src/daemon/feed_exchange.c
+++ b/src/daemon/feed_exchange.c
@@ -222,6 +222,7 @@
 
 /* The copy is as current as the sender's only once the last part is applied. */
 static void record_copy_age(struct cm_feed *feed, uint64_t now_ms,
+			    const struct cm_endpoint *from,
 			    const struct cm_message_items *items,
 			    bool is_usable)
 {
@@ -234,7 +235,7 @@
 		cm_feed_return_domains(feed, now_ms - age_ms);
 	}
 	if (items->age_ms == CM_FEED_AGE_UNREACHABLE)
-		cm_steer_registry_unreachable(feed->steer);
+		cm_steer_registry_reported(feed->steer, from);
 }
 
 /*
@@ -276,7 +277,7 @@
 	if (!is_behind)
 		error = apply_items(feed, now_ms, incarnation, items);
 	if (!error)
-		record_copy_age(feed, now_ms, items, is_usable);
+		record_copy_age(feed, now_ms, from, items, is_usable);
 	cm_feed_apply_loads(feed, now_ms, from, incarnation, items);
 	pthread_mutex_unlock(&feed->lock);
 	cm_steer_apply_reports(feed->steer, now_ms, items->suspects.tokens,
--- a/tests/unit/test_steer_outage.c
+++ b/tests/unit/test_steer_outage.c
@@ -1,5 +1,6 @@
 #include "unit/suites.h"
 
+#include <netinet/in.h>
 #include <stdio.h>
 
 #include "chervilmast/steer_report.h"
@@ -61,6 +62,25 @@
 		ck_assert_uint_eq(steering_send_syn(port, 0).server_id, 101);
 }
 
+/* Guards against new flows to a server that is gone, as another instance alone
+ * is cut off from the registry: the removal counts as soon as it is clear. */
+TEST(server_removed_while_one_instance_is_cut_off_gets_no_flow)
+{
+	const struct cm_endpoint reporter = { 0x0a000001, 8166, IPPROTO_TCP };
+
+	steering_make_ready(1);
+	cm_steer_registry_reported(&steering, &reporter);
+	steering_advance(2000);
+	cm_steer_remove_server(&steering, steering_ms, 1);
+	cm_steer_registry_answered(&steering, steering_ms);
+	for (uint16_t port = 1; port <= 10; port++)
+		ck_assert_uint_eq(steering_send_syn(port, 0).server_id, 101);
+	steering_advance(25);
+	ck_assert_int_eq(
+		cm_steer_servers_find_by_id(&steering.servers, 1)->listing,
+		CM_LEFT);
+}
+
 /* The last known plan and servers stay in use for the whole outage. */
 TEST(plan_and_servers_stay_in_use_during_an_outage)
 {
