Place no flow on a cold server of a domain that does not count this one

Cause: the instances of the server's domain, and of domains without a server of the service, share its rate. Those of all other domains placed flows on it too when their own servers were full.

Ruled out: dividing the rate by all instances, as most of it would stay unused while the others have servers of their own.

--- a/src/core/server_cost.c
+++ b/src/core/server_cost.c
@@ -238,6 +238,25 @@
 		       context->domains[index].last_unanswered_ms;
 }
 
+static bool domain_has_usable_server(const struct cm_choice_context *context,
+				     const struct cm_steer *steer,
+				     uint64_t domain_hash)
+{
+	const struct cm_steer_domains *domains = &steer->peers.domains;
+	uint32_t index = cm_steer_domains_find(domains, domain_hash);
+
+	return index < domains->count &&
+	       context->domains[index].has_usable_server;
+}
+
+bool cm_server_counts_this_instance(const struct cm_steer_server *server,
+				    const struct cm_steer *steer,
+				    const struct cm_choice_context *context)
+{
+	return server->domain_hash == steer->domain_hash ||
+	       !domain_has_usable_server(context, steer, steer->domain_hash);
+}
+
 uint32_t cm_server_sending_instances(const struct cm_steer_server *server,
 				     const struct cm_steer *steer,
 				     const struct cm_choice_context *context)
--- a/src/core/server_cost.h
+++ b/src/core/server_cost.h
@@ -66,6 +66,20 @@
 	const struct cm_choice_context *context, const struct cm_steer *steer,
 	uint64_t domain_hash);
 
+/**
+ * cm_server_counts_this_instance() - whether cm_server_sending_instances()
+ * counts this instance, here and at the others
+ * @server: the server
+ * @steer: the instance; its lock is held
+ * @context: the choice
+ *
+ * Return: true when the server is in the instance's failure domain, or that
+ * domain has no usable server of the service.
+ */
+bool cm_server_counts_this_instance(const struct cm_steer_server *server,
+				    const struct cm_steer *steer,
+				    const struct cm_choice_context *context);
+
 /**
  * cm_server_sending_instances() - number of instances that send flows to a
  * server
--- a/src/core/steer_choice.c
+++ b/src/core/steer_choice.c
@@ -61,6 +61,8 @@
 		cm_steer_plan_find_service(&steer->plan, server->entry.service);
 	if (!service || !service->cold_per_s)
 		return true;
+	if (!cm_server_counts_this_instance(server, steer, context))
+		return false;
 	refill_cold_tokens(server, service->cold_per_s,
 			   cm_server_sending_instances(server, steer, context),
 			   now_ms);
--- a/tests/unit/test_steer_choice.c
+++ b/tests/unit/test_steer_choice.c
@@ -167,6 +167,26 @@
 	ck_assert_uint_gt(forwarded, 5);
 }
 
+/* Guards against too many new flows to a server in its cold start: the
+ * instances of its failure domain share its rate, and those of other domains
+ * are not counted unless they have no server of their own. */
+TEST(cold_server_gets_no_flow_of_a_domain_with_servers)
+{
+	struct cm_server_entry cold = steering_make_entry(101, "b");
+
+	steering_set_plan(1, 40);
+	cold.cold_left_ms = 10000;
+	ASSERT_OK(cm_steer_put_server(&steering, steering_ms, &cold));
+	steering_add_server(1, "a");
+	cm_steer_registry_answered(&steering, steering_ms);
+	for (uint16_t port = 1; port <= 50; port++) {
+		ck_assert_uint_ne(steering_send_syn(port, 0).server_id, 101);
+		steering_advance(2);
+	}
+	cm_steer_remove_server(&steering, steering_ms, 1);
+	ck_assert_uint_eq(steering_send_syn(60, 0).server_id, 101);
+}
+
 TEST(route_is_split_by_weight)
 {
 	const struct cm_steer_route route = {
