Keep the members that may skip their source

Cause: for 5 s the instances of a failure domain skip a source that can't reach the registry, and it removes members that have sent no request for 5 s. It wrote the members entry without living instances, so that the others counted too few that share the rate of the cold server.

Ruled out: a longer timeout of members, as it would also keep those that stopped at any other time.

--- a/include/chervilmast/roster.h
+++ b/include/chervilmast/roster.h
@@ -105,6 +105,16 @@
 void cm_roster_add(struct cm_roster *roster, uint64_t now_ms,
 		   const struct cm_peer_entry *entry);
 
+/**
+ * cm_roster_keep() - keep a member, or add it with its rank, as if it had sent
+ * a request now
+ * @roster: the roster
+ * @now_ms: current time, ms
+ * @entry: entry of the member
+ */
+void cm_roster_keep(struct cm_roster *roster, uint64_t now_ms,
+		    const struct cm_peer_entry *entry);
+
 /**
  * cm_roster_expire() - remove members that have sent no request for
  * CM_ROSTER_TIMEOUT_MS
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -132,6 +132,21 @@
 		cm_roster_record_request(roster, now_ms, entry);
 }
 
+void cm_roster_keep(struct cm_roster *roster, uint64_t now_ms,
+		    const struct cm_peer_entry *entry)
+{
+	struct cm_roster_member *member = find(roster, entry->name);
+
+	if (!member) {
+		update_member(roster, now_ms, entry);
+		member = find(roster, entry->name);
+		if (member)
+			member->is_stored = false;
+	}
+	if (member && now_ms > member->last_request_ms)
+		member->last_request_ms = now_ms;
+}
+
 void cm_roster_expire(struct cm_roster *roster, uint64_t now_ms)
 {
 	uint32_t kept = 0;
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -4,6 +4,7 @@
 
 #include "condition.h"
 #include "feed_era.h"
+#include "ports/clock.h"
 
 void cm_feed_init(struct cm_feed *feed, struct cm_steer *steer,
 		  const struct cm_feed_config *config)
@@ -23,6 +24,7 @@
 	feed->is_stale = false;
 	feed->members_revision = 0;
 	feed->members_were_lost = false;
+	feed->members_kept_until_ms = 0;
 	feed->read_has_plan = false;
 	cm_feed_choice_init(&feed->source, config->age_max_ms);
 	memset(&feed->request_address, 0, sizeof(feed->request_address));
@@ -85,6 +87,8 @@
 void cm_feed_registry_answered(struct cm_feed *feed, uint64_t data_current_ms)
 {
 	pthread_mutex_lock(&feed->lock);
+	if (feed->is_registry_unreachable)
+		feed->members_kept_until_ms = cm_clock_ms() + CM_FEED_SKIP_MS;
 	feed->is_registry_unreachable = false;
 	feed->was_current = true;
 	cm_steer_registry_answered(feed->steer, data_current_ms);
@@ -166,6 +170,16 @@
 		cm_roster_add(&feed->roster, now_ms, &feed->peers_buffer[i]);
 }
 
+/* Keeps the members that may be unable to send requests to this instance. */
+static void keep_known_members(struct cm_feed *feed, uint64_t now_ms)
+{
+	uint32_t count = cm_steer_list_peers(feed->steer, feed->self.domain,
+					     feed->peers_buffer, CM_ROSTER_MAX);
+
+	for (uint32_t i = 0; i < count; i++)
+		cm_roster_keep(&feed->roster, now_ms, &feed->peers_buffer[i]);
+}
+
 uint32_t cm_feed_take_due_members(struct cm_feed *feed, uint64_t now_ms,
 				  bool force, struct cm_peer_entry *entries,
 				  uint64_t *revision)
@@ -174,6 +188,8 @@
 
 	pthread_mutex_lock(&feed->lock);
 	cm_roster_record_request(&feed->roster, now_ms, &feed->self);
+	if (now_ms < feed->members_kept_until_ms)
+		keep_known_members(feed, now_ms);
 	cm_roster_expire(&feed->roster, now_ms);
 	cm_feed_forget_earlier_members(feed);
 	if (feed->members_were_lost)
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -60,6 +60,9 @@
  *                     lists former members
  * @read_has_plan: the registry read in progress contains a plan, or the
  *                 snapshot one that is not older than the plan in force
+ * @members_kept_until_ms: time until which no member expires, ms: the others
+ *                         may skip this instance as their source, as it could
+ *                         not reach the registry or was not running
  * @peers_buffer: buffer for a list of members
  * @source: choice of the instance to send requests to instead of the registry
  * @request_address: control address to which the last request to a source was
@@ -106,6 +109,7 @@
 	bool is_stale;
 	uint64_t members_revision;
 	bool members_were_lost;
+	uint64_t members_kept_until_ms;
 	bool read_has_plan;
 	struct cm_peer_entry peers_buffer[CM_ROSTER_MAX];
 	struct cm_feed_choice source;
--- a/src/daemon/feed_registry.c
+++ b/src/daemon/feed_registry.c
@@ -204,6 +204,8 @@
 		remove_missing_members(feed, members, revision);
 	if (!may_be_outdated || !is_own)
 		put_members(feed, members, revision);
+	if (is_own && !feed->members_revision)
+		feed->members_kept_until_ms = cm_clock_ms() + CM_FEED_SKIP_MS;
 	if (is_own && revision > feed->members_revision) {
 		feed->members_revision = revision;
 		feed->members_were_lost = may_be_outdated;
--- a/tests/unit/test_feed_pause.c
+++ b/tests/unit/test_feed_pause.c
@@ -1,10 +1,12 @@
 #include "unit/suites.h"
 
 #include <pthread.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "chervilmast/error.h"
 #include "daemon/feed.h"
+#include "ports/clock.h"
 
 /** Longer than the timeout of a test, so only a wakeup ends the pause. */
 #define ENDLESS_PAUSE_MS 3600000
@@ -167,6 +169,68 @@
 	ck_assert_uint_eq(steer.registry_restored_ms, ANSWER_MS);
 }
 
+/* The registry returns the entry of the members a-1, a-2 and a-3. */
+static void load_members(void)
+{
+	const struct cm_registry_sink sink = cm_feed_sink(&feed, false);
+	struct cm_peer_entry entries[3];
+	const struct cm_domain_members members = { "a", entries, 3 };
+
+	memset(entries, 0, sizeof(entries));
+	for (uint64_t i = 0; i < 3; i++) {
+		snprintf(entries[i].name, sizeof(entries[i].name), "a-%u",
+			 (unsigned int)i + 1);
+		memcpy(entries[i].domain, "a", sizeof("a"));
+		entries[i].rank = i;
+	}
+	sink.members(sink.user, &members, 1);
+	cm_feed_registry_answered(&feed, cm_clock_ms());
+}
+
+static uint32_t count_members(uint64_t now_ms)
+{
+	static struct cm_peer_entry entries[CM_ROSTER_MAX];
+	uint64_t revision;
+
+	return cm_feed_take_due_members(&feed, now_ms, true, entries,
+					&revision);
+}
+
+/* Guards against a source that writes living members out of the registry's
+ * entry, so that too few instances share the rate of a server in its cold
+ * start: they skipped the source as it could not reach the registry. */
+TEST(members_are_kept_after_an_outage)
+{
+	uint64_t begin_ms = cm_clock_ms();
+
+	load_members();
+	feed.members_kept_until_ms = 0;
+	cm_feed_registry_unreachable(&feed);
+	cm_feed_registry_answered(&feed, begin_ms);
+	ck_assert_uint_eq(count_members(begin_ms + CM_FEED_SKIP_MS - 1), 3);
+	ck_assert_uint_eq(count_members(begin_ms + CM_FEED_SKIP_MS - 2 +
+					CM_ROSTER_TIMEOUT_MS),
+			  3);
+	ck_assert_uint_eq(count_members(begin_ms + CM_FEED_SKIP_MS +
+					CM_ROSTER_TIMEOUT_MS),
+			  1);
+}
+
+/* The same after a start: the others skipped it while it was not running. */
+TEST(members_are_kept_after_a_start)
+{
+	uint64_t begin_ms = cm_clock_ms();
+
+	load_members();
+	ck_assert_uint_eq(count_members(begin_ms + CM_FEED_SKIP_MS - 1), 3);
+	ck_assert_uint_eq(count_members(begin_ms + CM_FEED_SKIP_MS - 2 +
+					CM_ROSTER_TIMEOUT_MS),
+			  3);
+	ck_assert_uint_eq(count_members(begin_ms + CM_FEED_SKIP_MS +
+					CM_ROSTER_TIMEOUT_MS),
+			  1);
+}
+
 /* An answer to a request that was sent at 1,000 ms; its data was 200 ms old. It
  * is applied at @applied_ms. The data is known to have been current at
  * @confirmed_ms; 0 if the answer is too old to be used. */
--- a/tests/unit/test_roster.c
+++ b/tests/unit/test_roster.c
@@ -88,6 +88,24 @@
 		cm_roster_write_is_due(&roster, NOW_MS + CM_ROSTER_TIMEOUT_MS));
 }
 
+TEST(member_that_is_kept_does_not_expire)
+{
+	const struct cm_peer_entry known = make_entry("x", 7);
+	const struct cm_peer_entry other = make_entry("z", 5);
+
+	record_request("x", NOW_MS);
+	load_members(NOW_MS);
+	cm_roster_keep(&roster, NOW_MS + 1000, &known);
+	cm_roster_keep(&roster, NOW_MS + 1000, &other);
+	cm_roster_expire(&roster, NOW_MS + CM_ROSTER_TIMEOUT_MS);
+	ck_assert_str_eq(format_members(), "x0 z5 ");
+	ck_assert(cm_roster_write_is_due(&roster, NOW_MS));
+	record_request("y", NOW_MS + 2000);
+	ck_assert_str_eq(format_members(), "x0 z5 y6 ");
+	cm_roster_expire(&roster, NOW_MS + 1000 + CM_ROSTER_TIMEOUT_MS);
+	ck_assert_str_eq(format_members(), "y6 ");
+}
+
 /* A restarted node must not become the first member again, since the other
  * members now send their requests to the new first member. */
 TEST(returning_member_ranks_last)
