Let process tests restart servers, leave odd entries and use long names

Change: from seed 200 on, each fault is accompanied by a restart of a server under its id, up to three times in succession, or by an odd entry under a server's id until its next heartbeat, and the service has a long name. A reset of an open flow is a violation if the server that the caller's token names holds it, whichever run the token is of; for a server that has not restarted the check is the same as before.

--- a/Makefile
+++ b/Makefile
@@ -202,8 +202,9 @@
 # Process tests with 8 s of random faults for each seed. Seed 38 guards against
 # a request that is executed twice: the SYN-ACK of one server is lost, and
 # another server answers the retransmitted SYN. From seed 100 on, the store also
-# comes back from older copies.
-PROCESS_SEEDS = 2 7 38 101
+# comes back from older copies. From seed 200 on, servers also restart under
+# their ids, another writer leaves odd entries, and names are long.
+PROCESS_SEEDS = 2 7 38 101 201
 # Process tests of the present build beside the build in production.
 upgrade-check: packages
 	$(MAKE) $(BUILD)/chervilmast $(BUILD)/process
--- a/tests/process/caller.c
+++ b/tests/process/caller.c
@@ -221,15 +221,17 @@
 static void handle_packet(struct call *call, const struct packet *packet,
 			  uint64_t now)
 {
+	struct sockaddr_in caller = self;
 	uint32_t answered;
 
+	caller.sin_port = htons(call->port);
 	/*
 	 * Only instances send resets with checksum 0. An open flow may be reset
-	 * only if its server is gone.
+	 * only if its server is gone or lost it in a restart.
 	 */
 	if (packet->flags & PACKET_RST) {
 		if (!packet->checksum && call->state == OPEN &&
-		    server_is_alive(call->token))
+		    server_serves(call->token, &caller))
 			violation("open flow of request %u was reset",
 				  call->request);
 		if (!packet->checksum && call->state == OPENING)
--- a/tests/process/main.c
+++ b/tests/process/main.c
@@ -27,6 +27,11 @@
 /** From this seed on, the store also goes back to older copies; lower seeds
  * keep their sequences of faults. */
 #define FIRST_ERA_SEED 100
+/** From this seed on, servers also restart under their ids, another writer
+ * leaves odd entries, and names are long; lower seeds keep their sequences of
+ * faults. */
+#define FIRST_RESTART_SEED 200
+#define LONG_SERVICE "ledger-of-the-elementary-schools-and-of-the-county"
 /** Exclusive upper limit of the age of the copy, ms. */
 #define GO_BACK_SPAN_MS 8000
 /** With changes of era, one fault in this number is one. */
@@ -100,6 +105,32 @@
 	server_drain(random_slot());
 }
 
+/* The entry of the last start may arrive together with the one before. */
+static void restart_server(void)
+{
+	server_restart(random_slot(), 1 + fake_random_below(&rng, 3));
+}
+
+/* Values that another writer leaves under the id of a server. */
+static const char *const odd_values[] = {
+	"{}",
+	"7",
+	"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]"
+	"]]]]]]]]",
+	"{\"service\":\"ledger\",\"address\":\"127.0.0.1:70000\"}",
+	"{\"service\":\"none\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
+	"\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
+	"\"cold-left-ms\":0,\"sequence\":1,\"born\":9007199254740992}",
+};
+
+static void overwrite_entry(void)
+{
+	uint32_t count = sizeof(odd_values) / sizeof(*odd_values);
+
+	server_overwrite_entry(random_slot(),
+			       odd_values[fake_random_below(&rng, count)]);
+}
+
 static void fault_store(void)
 {
 	enum platform_fault fault =
@@ -233,16 +264,29 @@
 	faults[fake_random_below(&rng, sizeof(faults) / sizeof(*faults))]();
 }
 
-/* With @loses_writes, one fault in ERA_FAULTS_ONE_IN takes the store back. */
-static void run_faults(uint64_t ms, bool loses_writes)
+static void inject_server_fault(void)
+{
+	if (fake_random_below(&rng, 3))
+		restart_server();
+	else
+		overwrite_entry();
+}
+
+/*
+ * From FIRST_ERA_SEED on, one fault in ERA_FAULTS_ONE_IN takes the store back,
+ * and from FIRST_RESTART_SEED on, a fault of a server comes with every fault.
+ */
+static void run_faults(uint64_t ms, uint64_t seed)
 {
 	uint64_t end = now_ms() + ms;
 
 	for (uint32_t i = 0; now_ms() < end; i++) {
-		if (loses_writes && i % ERA_FAULTS_ONE_IN == 0)
+		if (seed >= FIRST_ERA_SEED && i % ERA_FAULTS_ONE_IN == 0)
 			lose_writes();
 		else
 			inject_fault();
+		if (seed >= FIRST_RESTART_SEED)
+			inject_server_fault();
 		run(FAULT_MIN_MS + fake_random_below(&rng, FAULT_GAP_SPAN_MS),
 		    REQUESTS_PER_S);
 	}
@@ -256,13 +300,13 @@
 	unsigned int ip = ntohl(service.sin_addr.s_addr);
 	char plan[512];
 
-	snprintf(
-		plan, sizeof(plan),
-		"{\"version\":%u,\"routes\":[{\"name\":\"r\",\"host\":"
-		"\"%u.%u.%u.%u\",\"prefix\":\"/443/\",\"service\":\"ledger\"}],"
-		"\"services\":[{\"name\":\"ledger\",\"cold-per-s\":0.0}],"
-		"\"limits\":{}}",
-		version, ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255);
+	snprintf(plan, sizeof(plan),
+		 "{\"version\":%u,\"routes\":[{\"name\":\"r\",\"host\":"
+		 "\"%u.%u.%u.%u\",\"prefix\":\"/443/\",\"service\":\"%s\"}],"
+		 "\"services\":[{\"name\":\"%s\",\"cold-per-s\":0.0}],"
+		 "\"limits\":{}}",
+		 version, ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255,
+		 process_service, process_service);
 	platform_standin_put(standin, "op/config", plan);
 }
 
@@ -284,12 +328,16 @@
 {
 	const struct scenario *scenario;
 	uint16_t store_port;
+	uint64_t seed;
 
 	if (argc < 5)
 		return 2;
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	signal(SIGPIPE, SIG_IGN);
-	rng.state = strtoull(argv[1], NULL, 10);
+	seed = strtoull(argv[1], NULL, 10);
+	rng.state = seed;
+	if (seed >= FIRST_RESTART_SEED)
+		process_service = LONG_SERVICE;
 	scenario = scenario_find(argv[2]);
 	address_set_net(argc > 5 ? (unsigned int)atoi(argv[5]) : 1);
 	store_port = platform_standin_start(&store, 0);
@@ -306,8 +354,7 @@
 	if (scenario)
 		scenario->play(&store);
 	else
-		run_faults(strtoull(argv[2], NULL, 10) * MS_PER_S,
-			   strtoull(argv[1], NULL, 10) >= FIRST_ERA_SEED);
+		run_faults(strtoull(argv[2], NULL, 10) * MS_PER_S, seed);
 	run(scenario ? MS_PER_S : AFTER_FAULTS_RUN_MS, REQUESTS_PER_S);
 	while (!callers_are_done())
 		step(0);
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -149,6 +149,9 @@
 
 /* Backend servers. */
 
+/** Name of the service of all servers. */
+extern const char *process_service;
+
 /** servers_start() - start all servers and add them to the store */
 void servers_start(struct platform_standin *standin);
 
@@ -165,8 +168,18 @@
 /** servers_fds() - store the sockets to poll in @fds; returns their number */
 int servers_fds(int *fds);
 
-/** server_is_alive() - whether the server with a token still responds */
-bool server_is_alive(uint32_t token);
+/** server_restart() - crash a server, which starts again under its id without
+ * its flows, @times times in succession */
+void server_restart(int slot, unsigned int times);
+
+/** server_overwrite_entry() - write @value, JSON text, under the id of a
+ * server, which writes its own entry again at its next heartbeat */
+void server_overwrite_entry(int slot, const char *value);
+
+/** server_serves() - whether an instance must forward a flow with a token: its
+ * server responds, and if the token is of an earlier run, holds the flow of
+ * @caller */
+bool server_serves(uint32_t token, const struct sockaddr_in *caller);
 
 /** servers_count_executions() - return the number of executions of a request */
 uint32_t servers_count_executions(uint32_t request);
--- a/tests/process/server.c
+++ b/tests/process/server.c
@@ -18,8 +18,12 @@
 /** Time after which the store entry of an unresponsive server expires, ms. */
 #define ENTRY_EXPIRY_MS (3 * HEARTBEAT_MS)
 #define REPLACE_DELAY_MS 2000
+/** Time from the crash of a server that restarts to its next run, ms. */
+#define RESTART_DELAY_MS 150
+/** Maximum number of runs of an id whose tokens are known. */
+#define RUNS_MAX 16
 #define DRAIN_EXIT_MS (PROCESS_DRAIN_MS + 2000)
-#define VALUE_SIZE 256
+#define VALUE_SIZE 320
 #define FIRST_ID 0x1001
 #define KEY_SIZE 64
 #define CHECKSUM 0x5eed
@@ -47,6 +51,10 @@
 /**
  * struct server - the backend server of one slot
  * @id: server id; a replacement has a new one
+ * @started_ms: start of this run, as its entry states it
+ * @restart_ms: time at which the next run starts under the same id; 0 for never
+ * @restarts: number of restarts that follow that one
+ * @report_ms: time at which it writes its entry again; 0 for never
  * @draining_ms: time since which it drains; 0 while it is active
  * @listed_until_ms: time at which its store entry is removed; 0 for never
  * @replaced_ms: time at which a new server takes its slot; 0 for never
@@ -58,6 +66,10 @@
  */
 struct server {
 	uint64_t id;
+	uint64_t started_ms;
+	uint64_t restart_ms;
+	unsigned int restarts;
+	uint64_t report_ms;
 	uint64_t draining_ms;
 	uint64_t listed_until_ms;
 	uint64_t replaced_ms;
@@ -68,7 +80,21 @@
 	bool is_unresponsive;
 };
 
+/**
+ * struct runs - the runs of the server in a slot under its present id
+ * @tokens: their tokens, the present one last
+ * @count: number of @tokens
+ */
+struct runs {
+	uint32_t tokens[RUNS_MAX];
+	unsigned int count;
+};
+
+const char *process_service = "ledger";
+
 static struct server servers[PROCESS_ALL_SERVERS];
+static struct runs runs[PROCESS_ALL_SERVERS];
+static uint64_t last_start_ms;
 static struct platform_standin *store;
 static uint8_t executions[REQUESTS_MAX];
 static uint64_t last_id = FIRST_ID - 1;
@@ -96,13 +122,14 @@
 
 	inet_ntop(AF_INET, &at.sin_addr, text, sizeof(text));
 	write_key(key, servers[slot].id);
-	snprintf(
-		value, sizeof(value),
-		"{\"service\":\"ledger\",\"address\":\"%s:%u\",\"zone\":\"%c\","
-		"\"version\":\"v1\",\"slots\":3,\"state\":\"%s\","
-		"\"cold-left-ms\":0,\"sequence\":1}",
-		text, SERVER_PORT, 'a' + slot / PROCESS_SERVERS_PER_DOMAIN,
-		is_draining ? "draining" : "ready");
+	snprintf(value, sizeof(value),
+		 "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%c\","
+		 "\"version\":\"v1\",\"slots\":3,\"state\":\"%s\","
+		 "\"cold-left-ms\":0,\"sequence\":1,\"born\":%llu}",
+		 process_service, text, SERVER_PORT,
+		 'a' + slot / PROCESS_SERVERS_PER_DOMAIN,
+		 is_draining ? "draining" : "ready",
+		 (unsigned long long)servers[slot].started_ms);
 	platform_standin_put(store, key, value);
 }
 
@@ -120,18 +147,36 @@
 	return fd;
 }
 
-static void start_server(int slot)
+static void record_run(struct runs *of, const struct server *server)
+{
+	if (of->count == RUNS_MAX)
+		memmove(of->tokens, of->tokens + 1,
+			--of->count * sizeof(*of->tokens));
+	of->tokens[of->count++] =
+		cm_steer_token(server->id, server->started_ms);
+}
+
+/* Starts a run, which has no flows of an earlier one. */
+static void start_run(int slot, uint64_t id)
 {
 	struct server *server = &servers[slot];
 	struct sockaddr_in at = server_address(slot);
 
 	memset(server, 0, sizeof(*server));
-	server->id = ++last_id;
+	server->id = id;
+	server->started_ms = ++last_start_ms;
+	record_run(&runs[slot], server);
 	server->udp = udp_open(&at);
 	server->tcp = listen_tcp(&at);
 	put_store_entry(slot, false);
 }
 
+static void start_server(int slot)
+{
+	runs[slot].count = 0;
+	start_run(slot, ++last_id);
+}
+
 void servers_start(struct platform_standin *standin)
 {
 	store = standin;
@@ -331,12 +376,24 @@
 	return -1;
 }
 
-bool server_is_alive(uint32_t token)
+static int find_slot_by_token(uint32_t token)
 {
 	for (int slot = 0; slot < PROCESS_ALL_SERVERS; slot++)
-		if (cm_steer_token(servers[slot].id, 0) == token)
-			return !servers[slot].is_unresponsive;
-	return false;
+		for (unsigned int i = 0; i < runs[slot].count; i++)
+			if (runs[slot].tokens[i] == token)
+				return slot;
+	return -1;
+}
+
+bool server_serves(uint32_t token, const struct sockaddr_in *caller)
+{
+	int slot = find_slot_by_token(token);
+	struct server *server = &servers[slot < 0 ? 0 : slot];
+
+	if (slot < 0 || server->is_unresponsive)
+		return false;
+	return token == runs[slot].tokens[runs[slot].count - 1] ||
+	       find_flow(server, caller);
 }
 
 static bool is_expired(int slot)
@@ -358,6 +415,21 @@
 	}
 }
 
+static void restart_server(int slot)
+{
+	unsigned int restarts = servers[slot].restarts;
+
+	start_run(slot, servers[slot].id);
+	if (restarts)
+		server_restart(slot, restarts);
+}
+
+static void report_server(int slot)
+{
+	servers[slot].report_ms = 0;
+	put_store_entry(slot, servers[slot].draining_ms);
+}
+
 void servers_poll(void)
 {
 	uint64_t now = now_ms();
@@ -372,6 +444,10 @@
 			remove_store_entry(slot);
 		if (server->replaced_ms && now >= server->replaced_ms)
 			replace_server(slot);
+		if (server->restart_ms && now >= server->restart_ms)
+			restart_server(slot);
+		if (server->report_ms && now >= server->report_ms)
+			report_server(slot);
 		if (server->tcp >= 0 && !server->is_unresponsive)
 			accept_probes(server);
 	}
@@ -391,6 +467,34 @@
 	fault_extend(server->replaced_ms);
 }
 
+void server_restart(int slot, unsigned int times)
+{
+	struct server *server = &servers[slot];
+
+	if (server->is_unresponsive || server->draining_ms)
+		return;
+	server->is_unresponsive = true;
+	close(server->udp);
+	close(server->tcp);
+	server->udp = -1;
+	server->tcp = -1;
+	server->restarts = times - 1;
+	server->restart_ms = now_ms() + RESTART_DELAY_MS;
+	fault_extend(server->restart_ms);
+}
+
+void server_overwrite_entry(int slot, const char *value)
+{
+	char key[KEY_SIZE];
+
+	if (servers[slot].is_unresponsive)
+		return;
+	write_key(key, servers[slot].id);
+	platform_standin_put(store, key, value);
+	servers[slot].report_ms = now_ms() + HEARTBEAT_MS;
+	fault_extend(servers[slot].report_ms);
+}
+
 void server_drain(int slot)
 {
 	struct server *server = &servers[slot];
