Decide on SYNs and on packets of open flows in files of their own

SYNs are decided on in steer_syn.c, packets of open flows in steer_open_flow.c; steer.c keeps the instance and passes packets on. Functions were moved, not changed; six that both files need are internal ones of steering now.

--- a/src/core/steer_internal.h
+++ b/src/core/steer_internal.h
@@ -1,13 +1,14 @@
 /**
  * DOC: Functions shared by the modules of steering
  *
- * steer.c decides on callers' packets, steer_choice.c chooses the servers of
- * new flows, steer_registry.c applies registry data, steer_watch.c detects
- * unanswered SYNs, selects the servers to be probed and determines readiness,
- * steer_flow_result.c records successful and failed flows, steer_gone.c decides
- * whether the server of an open flow is gone, steer_admission.c admits requests
- * under overload, steer_load.c exchanges loads with the source, and
- * steer_explain.c explains placements.
+ * steer.c passes callers' packets on: steer_syn.c decides on SYNs and
+ * steer_open_flow.c on packets of open flows. steer_choice.c chooses the
+ * servers of new flows, steer_registry.c applies registry data, steer_watch.c
+ * detects unanswered SYNs, selects the servers to be probed and determines
+ * readiness, steer_flow_result.c records successful and failed flows,
+ * steer_gone.c decides whether the server of an open flow is gone,
+ * steer_admission.c admits requests under overload, steer_load.c exchanges
+ * loads with the source, and steer_explain.c explains placements.
  */
 #ifndef CORE_STEER_INTERNAL_H
 #define CORE_STEER_INTERNAL_H
@@ -126,6 +127,71 @@
  */
 void cm_steer_check_idle_flows(struct cm_steer *steer, uint64_t now_ms);
 
+/**
+ * cm_steer_set_verdict() - set what is done with a packet, and why
+ * @verdict: the verdict
+ * @action: what is done
+ * @reason: counter of the reason
+ */
+void cm_steer_set_verdict(struct cm_steer_verdict *verdict,
+			  enum cm_steer_action action, enum cm_counter reason);
+
+/**
+ * cm_steer_set_forward_verdict() - set that a packet is forwarded to a server
+ * @verdict: the verdict
+ * @server: the server
+ * @reason: counter of the reason
+ */
+void cm_steer_set_forward_verdict(struct cm_steer_verdict *verdict,
+				  const struct cm_steer_server *server,
+				  enum cm_counter reason);
+
+/**
+ * cm_steer_forward_to() - forward a packet to a server
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ * @server: the server
+ * @reason: counter of the reason
+ * @verdict: set to the decision
+ */
+void cm_steer_forward_to(struct cm_steer *steer, uint64_t now_ms,
+			 const struct cm_steer_server *server,
+			 enum cm_counter reason,
+			 struct cm_steer_verdict *verdict);
+
+/**
+ * cm_steer_count_flow() - count a flow that is open, or whose SYN was just
+ * sent, at its server
+ * @steer: the instance; its lock is held
+ * @flow: the flow
+ * @server: its server
+ */
+void cm_steer_count_flow(const struct cm_steer *steer,
+			 struct cm_steer_flow *flow,
+			 struct cm_steer_server *server);
+
+/**
+ * cm_steer_handle_syn() - decide on a SYN
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ * @packet: the SYN
+ * @verdict: zeroed but for the age of the data; set to the decision
+ */
+void cm_steer_handle_syn(struct cm_steer *steer, uint64_t now_ms,
+			 const struct cm_steer_packet *packet,
+			 struct cm_steer_verdict *verdict);
+
+/**
+ * cm_steer_forward_by_token() - decide on a packet other than a SYN
+ * @steer: the instance; its lock is held
+ * @now_ms: current time, ms
+ * @packet: the packet
+ * @verdict: zeroed but for the age of the data; set to the decision
+ */
+void cm_steer_forward_by_token(struct cm_steer *steer, uint64_t now_ms,
+			       const struct cm_steer_packet *packet,
+			       struct cm_steer_verdict *verdict);
+
 /**
  * cm_steer_preview_syn() - decide on the SYN of a new flow without placing it
  * @steer: the instance; its lock is held
