--- a/include/chervilmast/steer.h
+++ b/include/chervilmast/steer.h
@@ -119,12 +119,12 @@
  * @probed_ms: when the last probe began, ms
  * @servers_examined: total number of servers examined by choices, probes and
  *                    readiness checks
+ * @outage_reporter: hash of the control address of the instance that reported
+ *                   first that it can't reach the registry; 0 for none
  * @is_registry_unreachable: the registry can't be reached, or another instance
  *                           reports so
  * @is_outage_confirmed: this instance can't reach the registry, or two others
  *                       report so; else only one of them may be cut off from it
- * @outage_reporter: hash of the control address of the instance that reported
- *                   first; 0 for none
  * @is_leaving: the instance is in graceful shutdown
  * @has_reached_server: a server has answered a SYN or a probe since the start
  * @was_ready: whether the instance was ready at the last tick
@@ -161,9 +161,9 @@
 	uint64_t last_forwarded_ms;
 	uint64_t probed_ms;
 	uint64_t servers_examined;
+	uint64_t outage_reporter;
 	bool is_registry_unreachable;
 	bool is_outage_confirmed;
-	uint64_t outage_reporter;
 	bool is_leaving;
 	bool has_reached_server;
 	bool was_ready;
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -55,14 +55,14 @@
  *            can't be requested by revision and a full read has to follow
  * @members_revision: revision of the registry's entry of the members of the own
  *                    failure domain; 0 while there is none
+ * @members_kept_until_ms: time until which no member expires, ms: the others
+ *                         may skip this instance as their source, as it could
+ *                         not reach the registry or was not running
  * @members_were_lost: the store changed its era since that entry was last
  *                     written: it is missing, or comes from the older copy and
  *                     lists former members
  * @read_has_plan: the registry read in progress contains a plan, or the
  *                 snapshot one that is not older than the plan in force
- * @members_kept_until_ms: time until which no member expires, ms: the others
- *                         may skip this instance as their source, as it could
- *                         not reach the registry or was not running
  * @peers_buffer: buffer for a list of members
  * @source: choice of the instance to send requests to instead of the registry
  * @request_address: control address to which the last request to a source was
@@ -108,8 +108,8 @@
 	bool read_may_be_stale;
 	bool is_stale;
 	uint64_t members_revision;
-	bool members_were_lost;
 	uint64_t members_kept_until_ms;
+	bool members_were_lost;
 	bool read_has_plan;
 	struct cm_peer_entry peers_buffer[CM_ROSTER_MAX];
 	struct cm_feed_choice source;
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -12,6 +12,8 @@
 #define WAIT_MS 20
 #define URL_SIZE 64
 #define OWN_KEY "servers/i-1"
+#define LONG_KEY \
+	"servers/aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaz"
 #define OTHER_KEY "servers/i-2"
 #define OWN_ID 1
 #define OTHER_ID 2
@@ -257,9 +259,9 @@
 
 /* Keys that another writer left among those of the servers. */
 static const char *const odd_keys[] = {
-	"servers/",	     "servers/x",      "servers/i-",
-	"servers/i-1/2",     "servers/i-1 ",   "servers/11112222333344445",
-	"servers/" LONG "z", "servers/i-\x01", "servers/\xff\xfe",
+	"servers/",	 "servers/x",	   "servers/i-",
+	"servers/i-1/2", "servers/i-1 ",   "servers/11112222333344445",
+	LONG_KEY,	 "servers/i-\x01", "servers/\xff\xfe",
 };
 
 TEST_TABLE(odd_key_names_no_server, odd_keys)
