--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -8,6 +8,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import hashlib
 import json
 import os
@@ -26,6 +27,8 @@
 SYN, ACK, FIN, RST = 1, 4, 8, 64
 HEAD = struct.Struct(">BBIHIIIIIHH")
 HEARTBEAT_S = 1.2
+RUN_LIMIT_S = 110
+PR_SET_PDEATHSIG = 1
 
 
 # --- MessagePack ---------------------------------------------------------
@@ -166,7 +169,7 @@
         for key in [k for k, v in self.items.items() if v.lease == lease]:
             self.remove(key)
 
-    async def handle(self, method, path, query, body):
+    async def handle(self, path, query, body):
         self.calls += 1
         self.expire_leases()
         await asyncio.sleep(self.latency_s)
@@ -258,7 +261,7 @@
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             line, *headers = head.split("\r\n")
-            method, target, _ = line.split(" ")
+            _, target, _ = line.split(" ")
             length = 0
             for header in headers:
                 if header.lower().startswith("content-length:"):
@@ -280,7 +283,7 @@
                 status, answer = 503, {}
             else:
                 status, answer = await self.handle(
-                    method, path, query, unpack(data) if data else {})
+                    path, query, unpack(data) if data else {})
             if self.mode[name] == "silent":
                 await asyncio.sleep(30)
                 return
@@ -620,6 +623,11 @@
 
 # --- instances -----------------------------------------------------------
 
+def end_with_parent():
+    """Called in the child: it is killed when this process ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Node:
     """A machine that runs `chervilmast steer`."""
 
@@ -661,7 +669,8 @@
         environment["CHERVILMAST_CONFIG"] = path
         self.process = subprocess.Popen(
             self.world.command, cwd=ROOT, stdin=subprocess.DEVNULL,
-            stdout=log, stderr=log, env=environment)
+            stdout=log, stderr=log, env=environment,
+            preexec_fn=end_with_parent)
         log.close()
         self.world.record("instance %s starts" % self.name)
 
@@ -735,7 +744,7 @@
             self.control_port, self.host_port = port + 3, port + 4
             self.store_port = port + 5
             return net
-        sys.exit(2)
+        raise OSError("no free ports")
 
     def ip(self, group, number):
         return "%s.%d.%d" % (self.net, group, number)
@@ -808,9 +817,7 @@
             if all(n.in_rotation for n in nodes):
                 return
             await asyncio.sleep(0.02)
-        self.finish()
-        print("the instances did not become ready")
-        sys.exit(2)
+        raise OSError("the instances did not become ready")
 
     def finish(self):
         for node in self.nodes:
@@ -850,27 +857,30 @@
 
 
 def main(play):
-    """Runs a case: exits with 1 if the rule was broken, else with 0."""
+    """Runs a case: exits with 1 if the rule was broken, with 0 if it held, and
+    with 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
-    if not os.access(os.path.join(ROOT, "target", "chervilmast"), os.X_OK):
-        print("target/chervilmast is missing")
-        sys.exit(2)
+    worlds = []
 
     async def run():
-        world = World(folder, trouble)
-        try:
-            return await asyncio.wait_for(play(world), 110)
-        finally:
-            world.finish()
+        worlds.append(World(folder, trouble))
+        return await asyncio.wait_for(play(worlds[0]), RUN_LIMIT_S)
+
+    def stop(*_):
+        raise SystemExit(2)
 
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     code = 2
     try:
+        if not os.access(os.path.join(ROOT, "target", "chervilmast"), os.X_OK):
+            raise OSError("target/chervilmast is missing")
         code = 1 if asyncio.new_event_loop().run_until_complete(run()) else 0
-    except (OSError, asyncio.TimeoutError) as error:
+    except BaseException as error:
         print("could not run: %r" % error)
-    except SystemExit as error:
-        code = error.code
+    for world in worlds:
+        world.finish()
     # Tasks of the stand-ins are still pending; they need no cleanup.
     sys.stdout.flush()
     os._exit(code)
